feat: the thin whole path in separate processes

Cause: the ownership core had no process around it. Added: entry, hop, runner and gate, gossip and control connections, operators' interface, command line, checked settings, platform and backend stand-ins, examples of both deployments, demo. Ruled out: a front tier; leases in the platform (the clients' small interface has compare-and-swap and watches only, see docs); grants that count from receipt (a frozen server would honour the ones in its buffers).

--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,90 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+// queue orders jobs by deadline. Removed jobs are skipped when they come up.
+type queue struct {
+	jobs    deadlineHeap
+	removed map[*Job]bool
+	live    map[*Job]bool
+}
+
+func newQueue() *queue {
+	return &queue{removed: map[*Job]bool{}, live: map[*Job]bool{}}
+}
+
+func (q *queue) push(job *Job) {
+	heap.Push(&q.jobs, job)
+	q.live[job] = true
+}
+
+// peek returns the job with the earliest deadline, or nil.
+func (q *queue) peek() *Job {
+	for len(q.jobs) > 0 {
+		job := q.jobs[0]
+		if !q.removed[job] {
+			return job
+		}
+		delete(q.removed, job)
+		heap.Pop(&q.jobs)
+	}
+	return nil
+}
+
+func (q *queue) pop() *Job {
+	job := q.peek()
+	if job != nil {
+		heap.Pop(&q.jobs)
+		delete(q.live, job)
+	}
+	return job
+}
+
+func (q *queue) remove(job *Job) bool {
+	if !q.live[job] {
+		return false
+	}
+	delete(q.live, job)
+	q.removed[job] = true
+	return true
+}
+
+func (q *queue) len() int { return len(q.live) }
+
+// expire pops the jobs that cannot end before their deadline.
+func (q *queue) expire(now time.Time, need time.Duration) []Verdict {
+	var dropped []Verdict
+	for {
+		job := q.peek()
+		if job == nil || !now.Add(need).After(job.Deadline) {
+			return dropped
+		}
+		dropped = append(dropped, Verdict{Job: q.pop()})
+	}
+}
+
+// deadlineHeap implements heap.Interface.
+type deadlineHeap []*Job
+
+func (h deadlineHeap) Len() int { return len(h) }
+
+func (h deadlineHeap) Less(i, j int) bool {
+	if h[i].Deadline.Equal(h[j].Deadline) {
+		return h[i].ID < h[j].ID
+	}
+	return h[i].Deadline.Before(h[j].Deadline)
+}
+
+func (h deadlineHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *deadlineHeap) Push(x any)   { *h = append(*h, x.(*Job)) }
+
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/admission/targets.go
@@ -0,0 +1,303 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
+)
+
+const (
+	// demandWindow is how often demand is measured.
+	demandWindow = 500 * time.Millisecond
+	// demandWeight is the weight of one window in the learned demand.
+	demandWeight = 0.1
+	// serviceWeight is the weight of one job in the learned service time.
+	serviceWeight = 0.05
+	// headroom is how far above its learned demand a class is protected.
+	headroom = 1.25
+	// busyShare is the share of the server above which demand is not learned: a flood must not teach.
+	busyShare = 0.9
+	// reserve is the share of the server that every class with a success target keeps at least, if it wants it.
+	reserve = 0.05
+	// creditTime is how much of its floor a class may save up.
+	creditTime = 500 * time.Millisecond
+	// patience is the part of the latency target that a job of a flooding class may wait.
+	patience = 0.5
+	// queueBound limits a class's queue, in jobs.
+	queueBound = 2000
+	// firstService is the service time assumed before the first job has ended.
+	firstService = 5 * time.Millisecond
+)
+
+// lane is what Targets keeps for one class.
+type lane struct {
+	class   class.Class
+	queue   *queue
+	late    *queue
+	service time.Duration
+	// demand is the learned rate, in calls a second.
+	demand    float64
+	hasDemand bool
+	// floor is the protected part of the server, in places.
+	floor   float64
+	credit  time.Duration
+	offered int
+}
+
+// Targets runs the jobs that keep the classes' targets. Each class is protected up to a floor, worked out from
+// its demand outside floods and its success target. Within the floors, and again with what they leave over,
+// more urgent ranks go first. Jobs that cannot meet their target make way; jobs that cannot meet their deadline
+// are dropped.
+type Targets struct {
+	places      float64
+	order       []*lane
+	lanes       map[class.Name]*lane
+	windowStart time.Time
+	refilledAt  time.Time
+	overloaded  bool
+}
+
+// NewTargets returns the policy for a server with a number of places.
+func NewTargets(places int) *Targets {
+	return &Targets{places: float64(places), lanes: map[class.Name]*lane{}}
+}
+
+// SetPlaces tells how many jobs the server runs at a time.
+func (t *Targets) SetPlaces(places int) { t.places = float64(places) }
+
+// SetClasses implements Policy. A class that is gone keeps its queue until the queue is empty.
+func (t *Targets) SetClasses(now time.Time, classes []class.Class) {
+	if t.windowStart.IsZero() {
+		t.windowStart = now
+		t.refilledAt = now
+	}
+	t.order = nil
+	for _, c := range classes {
+		l := t.lanes[c.Name]
+		if l == nil {
+			l = &lane{queue: newQueue(), late: newQueue(), service: firstService}
+			t.lanes[c.Name] = l
+		}
+		l.class = c
+		t.order = append(t.order, l)
+	}
+	for _, l := range t.lanes {
+		if l.queue.len()+l.late.len() > 0 && !slices.Contains(t.order, l) {
+			t.order = append(t.order, l)
+		}
+	}
+	slices.SortStableFunc(t.order, func(a, b *lane) int {
+		return cmp.Or(cmp.Compare(a.class.Rank, b.class.Rank), cmp.Compare(a.class.Name, b.class.Name))
+	})
+	t.setFloors()
+}
+
+// Offer implements Policy.
+func (t *Targets) Offer(now time.Time, job *Job) bool {
+	t.roll(now)
+	l := t.lanes[job.Class]
+	if l == nil {
+		return false
+	}
+	l.offered++
+	if !t.hasRoom(l) {
+		return false
+	}
+	l.queue.push(job)
+	return true
+}
+
+// hasRoom tells whether a job may wait. In an overload the queue of a class is as long as its share empties in
+// the time that its jobs are willing to wait.
+func (t *Targets) hasRoom(l *lane) bool {
+	waiting := l.queue.len()
+	if !t.overloaded {
+		return waiting < queueBound
+	}
+	work := float64(waiting) * l.service.Seconds()
+	share := max(l.floor, t.spare())
+	return work <= share*patience*l.class.Latency.Seconds()+l.service.Seconds()
+}
+
+// spare returns the places that no floor claims.
+func (t *Targets) spare() float64 {
+	spare := t.places
+	for _, l := range t.order {
+		spare -= l.floor
+	}
+	return max(0, spare)
+}
+
+// Next implements Policy.
+func (t *Targets) Next(now time.Time) []Verdict {
+	t.roll(now)
+	t.refill(now)
+	var verdicts []Verdict
+	for _, l := range t.order {
+		verdicts = append(verdicts, t.prune(now, l)...)
+	}
+	job := t.pick()
+	if job == nil {
+		return verdicts
+	}
+	l := t.lanes[job.Class]
+	l.credit -= l.service
+	return append(verdicts, Verdict{Job: job, Run: true})
+}
+
+// prune drops what cannot meet its deadline and sets aside what cannot meet its target.
+func (t *Targets) prune(now time.Time, l *lane) []Verdict {
+	verdicts := l.queue.expire(now, l.service)
+	verdicts = append(verdicts, l.late.expire(now, l.service)...)
+	isFlooding := t.overloaded && l.credit <= 0
+	for {
+		job := l.queue.peek()
+		if job == nil {
+			break
+		}
+		waited := now.Sub(job.Arrived)
+		isHopeless := waited+l.service > l.class.Latency
+		isStale := isFlooding && waited > time.Duration(patience*float64(l.class.Latency))
+		if !isHopeless && !isStale {
+			break
+		}
+		l.queue.pop()
+		if t.overloaded {
+			verdicts = append(verdicts, Verdict{Job: job})
+		} else {
+			l.late.push(job)
+		}
+	}
+	return verdicts
+}
+
+// pick chooses the next job: first within the floors, then with what they leave over, then the late ones.
+func (t *Targets) pick() *Job {
+	for _, l := range t.order {
+		if l.credit > 0 && l.queue.peek() != nil {
+			return l.queue.pop()
+		}
+	}
+	for _, l := range t.order {
+		if l.queue.peek() != nil {
+			return l.queue.pop()
+		}
+	}
+	for _, l := range t.order {
+		if l.late.peek() != nil {
+			return l.late.pop()
+		}
+	}
+	return nil
+}
+
+// Done implements Policy.
+func (t *Targets) Done(_ time.Time, job *Job, took time.Duration) {
+	l := t.lanes[job.Class]
+	if l == nil {
+		return
+	}
+	l.credit -= took - l.service
+	l.service += time.Duration(serviceWeight * float64(took-l.service))
+}
+
+// Remove implements Policy.
+func (t *Targets) Remove(job *Job) bool {
+	l := t.lanes[job.Class]
+	return l != nil && (l.queue.remove(job) || l.late.remove(job))
+}
+
+// Waiting implements Policy.
+func (t *Targets) Waiting() int {
+	waiting := 0
+	for _, l := range t.lanes {
+		waiting += l.queue.len() + l.late.len()
+	}
+	return waiting
+}
+
+// refill gives each class the credit of its floor for the time gone by.
+func (t *Targets) refill(now time.Time) {
+	elapsed := now.Sub(t.refilledAt)
+	if elapsed <= 0 {
+		return
+	}
+	t.refilledAt = now
+	for _, l := range t.order {
+		most := time.Duration(l.floor*float64(creditTime)) + l.service
+		l.credit = min(most, l.credit+time.Duration(l.floor*float64(elapsed)))
+		l.credit = max(l.credit, -most) // a debt from leftovers must not lock a class out of its floor
+	}
+}
+
+// roll closes the demand window when its time is over.
+func (t *Targets) roll(now time.Time) {
+	elapsed := now.Sub(t.windowStart)
+	if elapsed < demandWindow {
+		return
+	}
+	t.windowStart = now
+	t.overloaded = t.isOverloaded(elapsed)
+	for _, l := range t.order {
+		rate := float64(l.offered) / elapsed.Seconds()
+		if !t.overloaded {
+			l.learn(rate)
+		}
+		l.offered = 0
+	}
+	t.setFloors()
+}
+
+// isOverloaded tells whether the window's demand was more than the server takes.
+func (t *Targets) isOverloaded(elapsed time.Duration) bool {
+	work := 0.0
+	for _, l := range t.order {
+		work += float64(l.offered) / elapsed.Seconds() * l.service.Seconds()
+	}
+	return work > busyShare*t.places
+}
+
+// learn moves the demand towards a window's rate.
+func (l *lane) learn(rate float64) {
+	if !l.hasDemand {
+		l.hasDemand = rate > 0
+		l.demand = rate
+		return
+	}
+	l.demand += demandWeight * (rate - l.demand)
+}
+
+// setFloors divides the server: first a reserve for each class, then what each needs for its success target,
+// then the headroom, the more urgent ranks first.
+func (t *Targets) setFloors() {
+	left := t.places
+	give := func(l *lane, want float64) {
+		part := min(max(0, want-l.floor), left)
+		l.floor += part
+		left -= part
+	}
+	for _, l := range t.order {
+		l.floor = 0
+	}
+	for _, l := range t.order {
+		if l.class.Success > 0 {
+			give(l, min(l.need(t.places, len(t.order)), reserve*t.places))
+		}
+	}
+	for _, l := range t.order {
+		give(l, l.need(t.places, len(t.order))*l.class.Success)
+	}
+	for _, l := range t.order {
+		give(l, l.need(t.places, len(t.order))*headroom)
+	}
+}
+
+// need returns the places that a class's demand takes. A class without a known demand needs an equal share.
+func (l *lane) need(places float64, classes int) float64 {
+	if !l.hasDemand {
+		return places / float64(classes) / headroom
+	}
+	return l.demand * l.service.Seconds()
+}
--- /dev/null
+++ b/cmd/timeline.go
@@ -0,0 +1,119 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/skylarkrelay/skylarkrelay/operator"
+	"github.com/skylarkrelay/skylarkrelay/timeline"
+)
+
+// followPoll is the pause between two looks while following.
+const followPoll = 300 * time.Millisecond
+
+// timelineCommand merges the time lines of all daemons.
+type timelineCommand struct {
+	connection
+	format
+	Follow  bool   `long:"follow" description:"go on printing until interrupted"`
+	Key     string `long:"key" description:"only events of this key"`
+	Request string `long:"request" description:"only events of this request"`
+	Kind    string `long:"kind" description:"only events of this kind, such as ownership or call"`
+	streams streams
+}
+
+func addTimeline(parent *flags.Command, s streams) error {
+	_, err := parent.AddCommand("timeline", "show what happened, over all daemons",
+		"Merges the events of all members into one order. With --json it prints one event a line.", &timelineCommand{streams: s})
+	return err
+}
+
+// Execute implements flags.Commander.
+func (c *timelineCommand) Execute([]string) error {
+	ctx := context.Background()
+	after := map[string]timeline.Stamp{}
+	for {
+		if err := c.printNew(ctx, after); err != nil {
+			return err
+		}
+		if !c.Follow {
+			return nil
+		}
+		time.Sleep(followPoll)
+	}
+}
+
+// printNew prints what has come since the last call.
+func (c *timelineCommand) printNew(ctx context.Context, after map[string]timeline.Stamp) error {
+	addresses, err := c.addresses(ctx)
+	if err != nil {
+		return err
+	}
+	var lists [][]timeline.Event
+	for _, address := range addresses {
+		events, err := operator.NewClient(address).Timeline(ctx, after[address])
+		if err != nil {
+			fmt.Fprintf(c.streams.err, "left out: %v\n", err)
+			continue
+		}
+		if len(events) > 0 {
+			after[address] = events[len(events)-1].At
+		}
+		lists = append(lists, events)
+	}
+	for _, e := range timeline.Merge(lists...) {
+		if err := c.print(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addresses returns the operator addresses of the asked daemon and all members that it knows.
+func (c *timelineCommand) addresses(ctx context.Context) ([]string, error) {
+	status, err := c.client().Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	addresses := []string{c.Daemon}
+	seen := map[string]bool{c.Daemon: true}
+	for _, m := range status.Members {
+		if !seen[m.Operator] {
+			seen[m.Operator] = true
+			addresses = append(addresses, m.Operator)
+		}
+	}
+	return addresses, nil
+}
+
+func (c *timelineCommand) print(e timeline.Event) error {
+	isOther := c.Key != "" && e.Key != c.Key ||
+		c.Request != "" && e.Request != c.Request ||
+		c.Kind != "" && e.Kind.String() != c.Kind
+	if isOther {
+		return nil
+	}
+	if c.JSON {
+		data, err := json.Marshal(e)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(c.streams.out, string(data))
+		return err
+	}
+	at := time.Unix(0, e.At.Wall).UTC().Format("15:04:05.000")
+	_, err := fmt.Fprintf(c.streams.out, "%s %-12s %-13s %-18s %s\n", at, e.Host, e.Kind, e.Name, describe(e))
+	return err
+}
+
+func describe(e timeline.Event) string {
+	text := e.Detail
+	if e.Class != "" {
+		text = fmt.Sprintf("%s key=%q request=%s %s", e.Class, e.Key, e.Request, e.Detail)
+	}
+	return text
+}
--- a/ownership/explore_test.go
+++ b/ownership/explore_test.go
@@ -26,7 +26,7 @@
 func seeded(seed uint64) chooser { return rand.New(rand.NewPCG(seed, 7)) }
 
 // walkSeeds runs walks on all processors until one fails, and returns the lowest failing seed seen.
-func walkSeeds(v variant, walks, steps int) (failed uint64, reason error, total, takeovers int64) {
+func walkSeeds(v variant, walks, steps int) (failed uint64, total, takeovers int64, reason error) {
 	var next, stepsDone, taken atomic.Int64
 	var mu sync.Mutex
 	var group sync.WaitGroup
@@ -53,11 +53,11 @@
 		})
 	}
 	group.Wait()
-	return failed, reason, stepsDone.Load(), taken.Load()
+	return failed, stepsDone.Load(), taken.Load(), reason
 }
 
 func TestNoSecondOwnerInRandomWalks(t *testing.T) {
-	seed, err, steps, takeovers := walkSeeds(correct, *exploreWalks, *exploreSteps)
+	seed, steps, takeovers, err := walkSeeds(correct, *exploreWalks, *exploreSteps)
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
 	}
@@ -78,7 +78,7 @@
 func TestWalksCatchWrongVariants(t *testing.T) {
 	for _, v := range []variant{noSeals, noWait, newWitnessesOnly, sealsLifted, trustRestarted, vouchFromAnswer} {
 		t.Run(string(v), func(t *testing.T) {
-			seed, err, steps, _ := walkSeeds(v, *variantWalks, *exploreSteps)
+			seed, steps, _, err := walkSeeds(v, *variantWalks, *exploreSteps)
 			if err == nil {
 				t.Fatalf("%d walks, %d steps: not caught", *variantWalks, steps)
 			}
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -62,7 +62,9 @@
 	// Peer is the address of the control connection, host:port.
 	Peer string `json:"peer"`
 	// Hop is the address that takes forwarded calls, host:port.
-	Hop       string      `json:"hop"`
+	Hop string `json:"hop"`
+	// Operator is the address that serves operators, host:port.
+	Operator  string      `json:"operator"`
 	Domain    Domain      `json:"domain"`
 	State     MemberState `json:"state"`
 	Witnesses []Ref       `json:"witnesses"`
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"strconv"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// maxFrame bounds a control message, in bytes. The largest is a pushed value of the store in base64.
+const maxFrame = 2 << 20
+
+// boundedCodec frames JSON objects with their length. A frame over the bound ends the connection.
+type boundedCodec struct{}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (boundedCodec) WriteObject(stream io.Writer, obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return &MessageError{Method: "frame", Reason: err.Error()}
+	}
+	frame := binary.AppendUvarint(make([]byte, 0, len(data)+binary.MaxVarintLen64), uint64(len(data)))
+	_, err = stream.Write(append(frame, data...))
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if size > maxFrame {
+		return &MessageError{Method: "frame", Reason: strconv.FormatUint(size, 10) + " bytes are over the limit"}
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(stream, data); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, v)
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	read    metrics.Counter
+	written metrics.Counter
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.read != nil {
+		c.read.Inc(int64(n))
+	}
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if c.written != nil {
+		c.written.Inc(int64(n))
+	}
+	return n, err
+}
