--- a/caller/entry.go
+++ b/caller/entry.go
@@ -31,6 +31,7 @@
 	registry metrics.Registry
 	ring     *timeline.Ring
 	classes  atomic.Pointer[Classes]
+	closing  atomic.Bool
 }
 
 // NewEntry returns an entry without classes.
@@ -50,6 +51,9 @@
 // Classes returns the classes in force.
 func (e *Entry) Classes() *Classes { return e.classes.Load() }
 
+// Close asks callers, with each answer, to use another daemon from now on.
+func (e *Entry) Close() { e.closing.Store(true) }
+
 // ServeHTTP brings one call to its outcome.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := e.clock.Now()
@@ -58,6 +62,9 @@
 		answer = e.relay.Do(r.Context(), c)
 	}
 	e.record(c, answer, start)
+	if e.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	call.Write(w, c.ID, answer)
 }
 
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -33,6 +33,7 @@
 	balancer *balancer
 	throttle *throttle
 	budget   *budget
+	inFlight *inFlight
 }
 
 // NewRelay returns a relay for a daemon in a failure domain.
@@ -44,11 +45,17 @@
 		balancer: newBalancer(domain, clock, rand.New(rand.NewPCG(seed, 1))),
 		throttle: newThrottle(clock, rand.New(rand.NewPCG(seed, 2))),
 		budget:   newBudget(),
+		inFlight: newInFlight(),
 	}
 }
 
-// Forget drops what is known of daemons that are in no cell any more.
-func (r *Relay) Forget(routes Routes) {
+// Update drops what is known of daemons that are in no cell any more, and ends the wait for answers of lost ones.
+func (r *Relay) Update(routes Routes) {
+	for _, record := range routes {
+		for _, lost := range record.Lost {
+			r.inFlight.abort(lost)
+		}
+	}
 	r.balancer.forget(routes)
 	r.throttle.forget(routes)
 }
@@ -127,6 +134,8 @@
 	if !r.throttle.allow(f) {
 		return call.NotRun(call.Overload)
 	}
+	ctx, forget := r.inFlight.add(ctx, target.Ref)
+	defer forget()
 	end := r.balancer.begin(target.Ref)
 	answer := r.sender.Send(ctx, target, c)
 	end(answer)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,7 +30,8 @@
 const (
 	// firstPlaces is how many calls run at a time until the server has announced itself.
 	firstPlaces = 1
-	// linger is how long a daemon that has left still answers calls that were on their way to it.
+	// linger is how long a daemon that has left still answers: calls are on their way to it, and callers learn to
+	// use another one.
 	linger = time.Second
 	// readHeaderTimeout bounds how long a caller may take to send its headers.
 	readHeaderTimeout = 10 * time.Second
@@ -235,9 +236,10 @@
 	case <-d.control.left:
 	case <-ctx.Done():
 	}
-	_ = callers.Shutdown(ctx) // calls that outlast the drain time are cut off
+	d.entry.Close()
 	d.control.sleep(ctx, linger)
-	_ = d.hop.Shutdown(ctx) // likewise
+	_ = callers.Shutdown(ctx) // calls that outlast the drain time are cut off
+	_ = d.hop.Shutdown(ctx)   // likewise
 	d.log.Info("stopped")
 	return nil
 }
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -73,7 +73,7 @@
 		}
 	}
 	c.table.Set(routes)
-	c.relay.Forget(routes)
+	c.relay.Update(routes)
 	if c.witness != nil {
 		c.witness.Learn(now, record)
 	}
--- a/ownership/compose.go
+++ b/ownership/compose.go
@@ -22,7 +22,7 @@
 		changed = true
 	}
 	for _, ref := range gone {
-		next.remove(ref)
+		next.lose(ref)
 	}
 	if m.composeLeave(next) {
 		changed = true
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -13,6 +13,9 @@
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
+// lostLength is how many lost members a record remembers.
+const lostLength = 16
+
 // RecordFormat is the newest record format that this program reads.
 const RecordFormat = 1
 
@@ -80,6 +83,8 @@
 	// Nonce identifies the write, so that a writer whose answer was lost finds out.
 	Nonce   string   `json:"nonce"`
 	Members []Member `json:"members"`
+	// Lost holds the members that were taken over last, the newest at the end. Work given to them has no answer.
+	Lost []Ref `json:"lost,omitempty"`
 	// Owners holds for each slot an index into Members, or -1.
 	Owners []int16 `json:"owners"`
 	// Fences holds for each slot the generation in which its owner got it.
@@ -135,6 +140,7 @@
 	for i := range c.Members {
 		c.Members[i].Witnesses = slices.Clone(r.Members[i].Witnesses)
 	}
+	c.Lost = slices.Clone(r.Lost)
 	c.Owners = slices.Clone(r.Owners)
 	c.Fences = slices.Clone(r.Fences)
 	return &c
@@ -192,6 +198,13 @@
 	}
 }
 
+// lose removes a member that was taken over.
+func (r *Record) lose(ref Ref) {
+	r.remove(ref)
+	r.Lost = append(r.Lost, ref)
+	r.Lost = r.Lost[max(0, len(r.Lost)-lostLength):]
+}
+
 // assign gives a slot to the member at an index, under the record's generation as fence.
 func (r *Record) assign(slot class.Slot, index int) {
 	r.Owners[slot] = int16(index)
