--- a/admission/targets.go
+++ b/admission/targets.go
@@ -27,6 +27,8 @@
 	patience = 0.5
 	// queueBound limits a class's queue, in jobs.
 	queueBound = 2000
+	// outlier bounds what one job may say of the service time, in multiples of what is known.
+	outlier = 4
 	// firstService is the service time assumed before the first job has ended.
 	firstService = 5 * time.Millisecond
 )
@@ -149,8 +151,8 @@
 
 // prune drops what cannot meet its deadline and sets aside what cannot meet its target.
 func (t *Targets) prune(now time.Time, l *lane) []Verdict {
-	verdicts := l.queue.expire(now, l.service)
-	verdicts = append(verdicts, l.late.expire(now, l.service)...)
+	verdicts := l.queue.expire(now, l.expected())
+	verdicts = append(verdicts, l.late.expire(now, l.expected())...)
 	isFlooding := t.overloaded && l.credit <= 0
 	for {
 		job := l.queue.peek()
@@ -158,7 +160,7 @@
 			break
 		}
 		waited := now.Sub(job.Arrived)
-		isHopeless := waited+l.service > l.class.Latency
+		isHopeless := waited+l.expected() > l.class.Latency
 		isStale := isFlooding && waited > time.Duration(patience*float64(l.class.Latency))
 		if !isHopeless && !isStale {
 			break
@@ -173,6 +175,10 @@
 	return verdicts
 }
 
+// expected returns how long a job is taken to run when it is judged whether it can still meet its target. It is
+// never more than half of the target, so that a wrong estimate is corrected by the jobs that run.
+func (l *lane) expected() time.Duration { return min(l.service, l.class.Latency/2) }
+
 // pick chooses the next job: first within the floors, then with what they leave over, then the late ones.
 func (t *Targets) pick() *Job {
 	for _, l := range t.order {
@@ -199,7 +205,8 @@
 	if l == nil {
 		return
 	}
-	l.credit -= took - l.service
+	l.credit -= took - l.service // what was charged at the start is corrected
+	took = min(took, outlier*l.service)
 	l.service += time.Duration(serviceWeight * float64(took-l.service))
 }
 
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -56,6 +56,8 @@
 // Result is how a load ended.
 type Result struct {
 	Tallies []*Tally
+	// Errors counts the errors of calls without an answer.
+	Errors map[string]int
 	// LongestGap is the longest time in which a key got no answer although it was asked for.
 	LongestGap time.Duration
 }
@@ -69,6 +71,7 @@
 	mu      sync.Mutex
 	tallies map[class.Name]*Tally
 	random  *rand.Rand
+	errors  map[string]int
 	failing map[string]time.Time
 	gap     time.Duration
 }
@@ -81,6 +84,7 @@
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
 		tallies: map[class.Name]*Tally{},
 		random:  rand.New(rand.NewPCG(plan.Seed, 11)),
+		errors:  map[string]int{},
 		failing: map[string]time.Time{},
 	}
 	var group sync.WaitGroup
@@ -97,6 +101,7 @@
 	}
 	group.Wait()
 	result.LongestGap = r.gap
+	result.Errors = r.errors
 	return result
 }
 
@@ -173,11 +178,16 @@
 	response, err := r.client.Do(request)
 	if err != nil {
 		var dial *net.OpError
-		return noAnswer, false, errors.As(err, &dial) && dial.Op == "dial"
+		isRefused = errors.As(err, &dial) && dial.Op == "dial"
+		if !isRefused {
+			r.lost(err)
+		}
+		return noAnswer, false, isRefused
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
+		r.lost(err)
 		return noAnswer, false, false
 	}
 	outcome = response.Header.Get(call.OutcomeHeader)
@@ -188,6 +198,12 @@
 	return outcome, !isReadable || answer.Request != response.Header.Get(call.RequestHeader), false
 }
 
+func (r *runner) lost(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.errors[err.Error()]++
+}
+
 func (r *runner) count(c class.Class, path, outcome string, isMixed bool, start time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -228,5 +244,8 @@
 			micros(t.Histogram.ValueAtQuantile(50)), micros(t.Histogram.ValueAtQuantile(99)), micros(t.Histogram.Max()))
 	}
 	fmt.Fprintf(out, "longest time a key got no answer: %v\n", r.LongestGap.Round(time.Millisecond))
+	for text, count := range r.Errors {
+		fmt.Fprintf(out, "%d x %s\n", count, text)
+	}
 	return out.Flush()
 }
