feat: only flooding classes are shed; late work of the others is still answered

Cause: in an overload every class was held to the short queue, so that a class which asked for no more than before lost calls when the server was cold. Now a class floods if it asks for twice its learned demand; the others wait, and their late calls run inside their floor.

--- a/admission/targets.go
+++ b/admission/targets.go
@@ -19,6 +19,8 @@
 	headroom = 1.25
 	// busyShare is the share of the server above which demand is not learned: a flood must not teach.
 	busyShare = 0.9
+	// floodRatio is how far above its learned demand a class floods.
+	floodRatio = 2.0
 	// reserve is the share of the server that every class with a success target keeps at least, if it wants it.
 	reserve = 0.05
 	// creditTime is how much of its floor a class may save up.
@@ -42,6 +44,8 @@
 	// demand is the learned rate, in calls a second.
 	demand    float64
 	hasDemand bool
+	// isFlooding says that the class's rate is far above its learned demand.
+	isFlooding bool
 	// floor is the protected part of the server, in places.
 	floor   float64
 	credit  time.Duration
@@ -111,11 +115,11 @@
 	return true
 }
 
-// hasRoom tells whether a job may wait. In an overload the queue of a class is as long as its share empties in
+// hasRoom tells whether a job may wait. In an overload the queue of a flooding class is as long as its share empties in
 // the time that its jobs are willing to wait.
 func (t *Targets) hasRoom(l *lane) bool {
 	waiting := l.queue.len()
-	if !t.overloaded {
+	if !t.overloaded || !l.isFlooding {
 		return waiting < queueBound
 	}
 	work := float64(waiting) * l.service.Seconds()
@@ -153,7 +157,7 @@
 func (t *Targets) prune(now time.Time, l *lane) []Verdict {
 	verdicts := l.queue.expire(now, l.expected())
 	verdicts = append(verdicts, l.late.expire(now, l.expected())...)
-	isFlooding := t.overloaded && l.credit <= 0
+	isFlooding := t.overloaded && l.isFlooding
 	for {
 		job := l.queue.peek()
 		if job == nil {
@@ -161,12 +165,12 @@
 		}
 		waited := now.Sub(job.Arrived)
 		isHopeless := waited+l.expected() > l.class.Latency
-		isStale := isFlooding && waited > time.Duration(patience*float64(l.class.Latency))
+		isStale := isFlooding && l.credit <= 0 && waited > time.Duration(patience*float64(l.class.Latency))
 		if !isHopeless && !isStale {
 			break
 		}
 		l.queue.pop()
-		if t.overloaded {
+		if isFlooding {
 			verdicts = append(verdicts, Verdict{Job: job})
 		} else {
 			l.late.push(job)
@@ -179,13 +183,19 @@
 // never more than half of the target, so that a wrong estimate is corrected by the jobs that run.
 func (l *lane) expected() time.Duration { return min(l.service, l.class.Latency/2) }
 
-// pick chooses the next job: first within the floors, then with what they leave over, then the late ones.
+// pick chooses the next job: first within the floors, those that can meet their target before the late ones; then
+// with what the floors leave over.
 func (t *Targets) pick() *Job {
 	for _, l := range t.order {
 		if l.credit > 0 && l.queue.peek() != nil {
 			return l.queue.pop()
 		}
 	}
+	for _, l := range t.order {
+		if l.credit > 0 && l.late.peek() != nil {
+			return l.late.pop()
+		}
+	}
 	for _, l := range t.order {
 		if l.queue.peek() != nil {
 			return l.queue.pop()
@@ -249,6 +259,7 @@
 	t.overloaded = t.isOverloaded(elapsed)
 	for _, l := range t.order {
 		rate := float64(l.offered) / elapsed.Seconds()
+		l.isFlooding = !l.hasDemand || rate > floodRatio*l.demand
 		if !t.overloaded {
 			l.learn(rate)
 		}
