--- a/cmd/timeline.go
+++ b/cmd/timeline.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -19,10 +20,11 @@
 type timelineCommand struct {
 	connection
 	format
-	Follow  bool   `long:"follow" description:"go on printing until interrupted"`
-	Key     string `long:"key" description:"only events of this key"`
-	Request string `long:"request" description:"only events of this request"`
-	Kind    string `long:"kind" description:"only events of this kind, such as ownership or call"`
+	Also    []string `long:"also" value-name:"ADDRESS" description:"operator address of a daemon that is no member any more; repeat it"`
+	Follow  bool     `long:"follow" description:"go on printing until interrupted"`
+	Key     string   `long:"key" description:"only events of this key"`
+	Request string   `long:"request" description:"only events of this request"`
+	Kind    string   `long:"kind" description:"only events of this kind, such as ownership or call"`
 	streams streams
 }
 
@@ -73,21 +75,18 @@
 	return nil
 }
 
-// addresses returns the operator addresses of the asked daemon and all members that it knows.
+// addresses returns the operator addresses of the asked daemons and all members that the first one knows.
 func (c *timelineCommand) addresses(ctx context.Context) ([]string, error) {
 	status, err := c.client().Status(ctx)
 	if err != nil {
 		return nil, err
 	}
-	addresses := []string{c.Daemon}
-	seen := map[string]bool{c.Daemon: true}
+	addresses := append([]string{c.Daemon}, c.Also...)
 	for _, m := range status.Members {
-		if !seen[m.Operator] {
-			seen[m.Operator] = true
-			addresses = append(addresses, m.Operator)
-		}
+		addresses = append(addresses, m.Operator)
 	}
-	return addresses, nil
+	slices.Sort(addresses)
+	return slices.Compact(addresses), nil
 }
 
 func (c *timelineCommand) print(e timeline.Event) error {
