fix: one-way cuts; a server is not down because the lease cut its grant short

Causes, all found by a session with the stand-in's cutter (an owner that others cannot reach, while it reaches them): (1) it asked its witnesses for ever, heard no answer, had no lease, and looked alive, so that nobody took over: after two vouch times without a lease a member only probes, which is no claim; (2) taken over, it joined again and again, got slots and no lease: it now hears a majority of possible witnesses first, with growing pauses; (3) on its return its witnesses still had its old, expired vouches and called it silent before it could ask (removed 0.4 to 10 s after each join): they give a newly listed member one vouch time; (4) a daemon that hears nobody fetches others' news itself; (5) a grant cut short by the lease counted as 'grant not renewed': the server was taken for down and all slots were given away, in every start. Now only unanswered grants count. Addresses for others can differ from those listened on (hop.advertise, peer.advertise). The list of members in its message was wrong too (a look that was cut short counted all as behind).

--- a/cmd/config.go
+++ b/cmd/config.go
@@ -139,11 +139,16 @@
 
 // wait polls the members until all have the revision in force.
 func (c *configApply) wait(ctx context.Context, revision class.Revision) error {
+	var behind []string
 	for {
-		behind, err := c.behind(ctx, revision)
+		now, err := c.behind(ctx, revision)
+		if ctx.Err() != nil {
+			return &NotInForceError{Revision: revision, Members: behind} // this look was cut short
+		}
 		if err != nil {
 			return err
 		}
+		behind = now
 		if len(behind) == 0 {
 			return nil
 		}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -64,6 +64,8 @@
 	lease     leaseState
 	loadMeter loadMeter
 	moves     []quiescing
+	// heardAt is when the last message of another daemon came.
+	heardAt   time.Time
 	isLeaving bool
 	left      chan struct{}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,7 +80,7 @@
 		ring:      ring,
 		registry:  registry,
 		store:     platform.NewClient(s.Platform.Address, s.Platform.Timeout),
-		pool:      peer.NewPool(ctx, s.Peer.Listen, registry),
+		pool:      peer.NewPool(ctx, s.Peer.Advertise, registry),
 		board:     gossip.NewBoard(),
 		runner:    runner,
 		gate:      gate,
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -34,6 +34,8 @@
 	// stamp is the server's newest stamp, and stampAt when it arrived here.
 	stamp   backend.Stamp
 	stampAt time.Time
+	// answeredAt is when the server last answered a grant.
+	answeredAt time.Time
 	// grantEnds is when the newest grant has surely run out at the server.
 	grantEnds time.Time
 	// isAsking says that a grant is on its way.
@@ -107,8 +109,8 @@
 	c.server.epoch = backend.Epoch(c.self.Incarnation) << epochBits
 	self := ownership.Member{
 		Ref:      c.self,
-		Peer:     c.settings.Peer.Listen,
-		Hop:      c.settings.Hop.Listen,
+		Peer:     c.settings.Peer.Advertise,
+		Hop:      c.settings.Hop.Advertise,
 		Operator: c.settings.Operator.Listen,
 		Domain:   c.settings.FailureDomain,
 	}
@@ -154,8 +156,8 @@
 	if !s.announced.ChecksFences {
 		return
 	}
-	if s.isReady && !now.Before(s.grantEnds) {
-		c.serverDown(now, "grant not renewed")
+	if s.isReady && now.Sub(s.answeredAt) > c.settings.Backend.Grant {
+		c.serverDown(now, "grants not answered")
 	}
 	if s.isAsking || now.Before(s.nextGrant) {
 		return
@@ -196,16 +198,21 @@
 		c.log.Debug("grant not taken", "error", err)
 		return
 	}
-	isInForce := g.Since.Life == stamp.Life && g.Epoch == s.epoch && g.For > 0
-	if isInForce {
-		// The stamp was given before it arrived here, so the grant ends at the server no later than this.
-		s.grantEnds = s.stampAt.Add(g.For)
+	isSameLife := g.Since.Life == stamp.Life
+	if isSameLife {
+		// The stamp was given before it arrived here, so the grant ends at the server no later than this. A grant
+		// that the lease cuts short says nothing against the server.
+		ends := s.stampAt.Add(g.For)
+		if ends.After(s.grantEnds) {
+			s.grantEnds = ends
+		}
 	} else {
 		s.nextGrant = now // the first answer only brings the stamp
 	}
 	s.stamp = stamp
 	s.stampAt = now
-	if isInForce && !s.isReady && now.Before(s.grantEnds) {
+	s.answeredAt = now
+	if isSameLife {
 		c.serverUp(now)
 	}
 }
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -27,6 +27,8 @@
 	watchers = 3
 	// repairInterval is how often a daemon compares what it knows with a random other one.
 	repairInterval = time.Second
+	// deafTime is how long a daemon may hear nothing from others before it fetches their news itself.
+	deafTime = 3 * time.Second
 	// storeRetry is the wait after a failed read of the store.
 	storeRetry = 200 * time.Millisecond
 	// watcherCheck is how often a daemon that does not watch looks whether it should.
@@ -149,6 +151,7 @@
 		c.ring.Witness(*e.At)
 	}
 	c.post(func(now time.Time) {
+		c.heardAt = now
 		if e.Config > c.config.Revision {
 			go c.pull(e.From, operator.ConfigKey)
 			// A vouch counts only once this daemon has the configuration that its witness has.
@@ -218,9 +221,12 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.Chan():
-			c.post(func(time.Time) {
+			c.post(func(now time.Time) {
 				for _, address := range c.randomPeers(1) {
 					c.pool.Digest(address, c.board.Digest())
+					if now.Sub(c.heardAt) > deafTime {
+						go c.repair(address) // others may not be able to reach this daemon
+					}
 				}
 			})
 		}
--- a/ownership/compose.go
+++ b/ownership/compose.go
@@ -62,7 +62,7 @@
 	}
 	entry := next.Find(m.self.Ref)
 	if entry == nil {
-		if m.state == Draining {
+		if m.state == Draining || !m.mayJoin(now) {
 			return false
 		}
 		joining := m.self
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -101,6 +101,12 @@
 	held      map[Ref]time.Time
 	sealedAt  Generation
 	nextRenew time.Time
+	// leasedAt is when this member last had a lease, or began to claim one.
+	leasedAt time.Time
+	probed   map[Ref]time.Time
+	// removals counts how often this daemon was taken over; it joins again after a pause.
+	removals    int
+	rejoinAfter time.Time
 
 	wanted    bool
 	state     MemberState
@@ -129,6 +135,7 @@
 		wantRead:  true,
 		sent:      map[uint64]sentVouch{},
 		held:      map[Ref]time.Time{},
+		probed:    map[Ref]time.Time{},
 		witnesses: newWitnessChoice(abandoned),
 		leaving:   map[class.Slot]*leavingSlot{},
 		suspects:  map[Ref]*suspicion{},
@@ -355,7 +362,11 @@
 		}
 	}
 	if wasMember && !m.IsMember() {
-		effects = append(effects, m.departed()...)
+		effects = append(effects, m.departed(now)...)
+	}
+	if !wasMember && m.IsMember() {
+		m.leasedAt = now
+		m.nextRenew = now
 	}
 	m.recordChanged()
 	m.checkRelief()
@@ -378,8 +389,10 @@
 }
 
 // departed reports that this daemon is no longer a member.
-func (m *Machine) departed() []Effect {
+func (m *Machine) departed(now time.Time) []Effect {
 	m.held = map[Ref]time.Time{}
+	m.rejoinAfter = now.Add(rejoinPause << min(m.removals, rejoinMost))
+	m.removals++
 	if m.state == Draining {
 		m.wanted = false
 		return []Effect{Event{Kind: EventLeft, Member: m.self.Ref}}
--- a/ownership/message.go
+++ b/ownership/message.go
@@ -16,6 +16,8 @@
 	Witness    Ref           `json:"w"`
 	Generation Generation    `json:"g"`
 	Sequence   uint64        `json:"q"`
+	// Probe asks only whether the witness can be heard. It is no claim, and keeps nobody from taking over.
+	Probe bool `json:"p,omitempty"`
 }
 
 // VouchReply is a witness's answer to a VouchRequest.
@@ -26,6 +28,8 @@
 	// Sealed is the generation up to which the witness refuses claims; the vouch is refused if it is not below the claim.
 	Sealed  Generation `json:"e,omitempty"`
 	Granted bool       `json:"o,omitempty"`
+	// Probe answers a probe: nothing is promised.
+	Probe bool `json:"p,omitempty"`
 	// Restarted says that the addressed incarnation of the witness is gone.
 	Restarted bool `json:"r,omitempty"`
 }
--- a/ownership/vouching.go
+++ b/ownership/vouching.go
@@ -10,6 +10,12 @@
 const (
 	// failedMemory is how long a witness that failed is not chosen again.
 	failedMemory = 10 * time.Second
+	// deafVouches is how many vouch times a member may be without a lease before it stops claiming one. A member that
+	// can ask but hears no answer would otherwise look alive to its witnesses, and nobody could take over.
+	deafVouches = 2
+	// rejoinPause is how long a member that was taken over stays away, doubled each time up to rejoinMost.
+	rejoinPause = 2 * time.Second
+	rejoinMost  = 5
 	// failedVouches is how many vouch times a witness may stay mute before it is replaced.
 	failedVouches = 2
 )
@@ -88,8 +94,9 @@
 func (m *Machine) renew(now time.Time) []Effect {
 	entry := m.entry()
 	if entry == nil {
-		return nil
+		return m.probeToRejoin(now)
 	}
+	m.noteLease(now)
 	m.chooseWitnesses(now, entry)
 	if now.Before(m.nextRenew) {
 		return nil
@@ -120,9 +127,66 @@
 		Witness:    witness,
 		Generation: m.known.Record.Generation,
 		Sequence:   m.sequence,
+		Probe:      m.isDeaf(now),
 	}}
 }
 
+// noteLease remembers when this member last had a lease.
+func (m *Machine) noteLease(now time.Time) {
+	if now.Before(m.LeaseEnd(now)) {
+		m.leasedAt = now
+	}
+}
+
+// isDeaf tells whether this daemon only probes: it is no member, or has been without a lease for too long.
+func (m *Machine) isDeaf(now time.Time) bool {
+	return m.entry() == nil || now.Sub(m.leasedAt) > deafVouches*m.timing.Vouch
+}
+
+// heard takes in the answer to a probe. Once a majority is heard, this member claims its lease again.
+func (m *Machine) heard(now time.Time, witness Ref) {
+	m.probed[witness] = now
+	entry := m.entry()
+	if entry != nil && m.hears(now, entry.Witnesses) {
+		m.leasedAt = now
+		m.nextRenew = now
+	}
+}
+
+// hears tells whether a majority of a set has lately answered probes.
+func (m *Machine) hears(now time.Time, set []Ref) bool {
+	count := 0
+	for _, w := range set {
+		if at, known := m.probed[w]; known && now.Sub(at) <= m.timing.Vouch {
+			count++
+		}
+	}
+	return count >= majority(set)
+}
+
+// probeToRejoin asks possible witnesses whether they can be heard, before a daemon that was taken over joins again.
+// One that would get slots and no lease would only make them unavailable.
+func (m *Machine) probeToRejoin(now time.Time) []Effect {
+	isWaiting := m.removals > 0 && m.wanted && !now.Before(m.rejoinAfter)
+	if !isWaiting || now.Before(m.nextRenew) {
+		return nil
+	}
+	m.nextRenew = now.Add(m.timing.Renew)
+	var effects []Effect
+	for _, witness := range m.witnesses.pick(now, m.self, nil) {
+		effects = append(effects, m.ask(now, witness))
+	}
+	return effects
+}
+
+// mayJoin tells whether this daemon may become a member. After it was taken over it has to hear witnesses first.
+func (m *Machine) mayJoin(now time.Time) bool {
+	if m.removals == 0 || m.witnesses.isAlone() {
+		return true
+	}
+	return !now.Before(m.rejoinAfter) && m.hears(now, m.witnesses.pick(now, m.self, nil))
+}
+
 // vouched takes in a witness's answer. The vouch counts from before the request was sent.
 func (m *Machine) vouched(now time.Time, reply VouchReply) {
 	sent, ok := m.sent[reply.Sequence]
@@ -133,6 +197,8 @@
 	switch {
 	case reply.Restarted:
 		m.witnesses.failed[reply.Witness] = now
+	case reply.Probe:
+		m.heard(now, reply.Witness)
 	case reply.Granted:
 		delete(m.witnesses.failed, reply.Witness)
 		m.witnesses.asked[reply.Witness] = now
--- a/ownership/witness.go
+++ b/ownership/witness.go
@@ -47,9 +47,12 @@
 		named[m.Ref] = true
 		p, known := w.promises[m.Ref]
 		if !known {
-			p = &promise{until: now.Add(w.vouch)}
+			p = &promise{}
 			w.promises[m.Ref] = p
 		}
+		if !p.listed {
+			p.until = later(p.until, now.Add(w.vouch)) // it needs time to ask for its first vouch
+		}
 		p.listed = true
 		p.service = r.Service
 	}
@@ -67,6 +70,10 @@
 		reply.Restarted = true
 		return []Effect{Send{To: req.Member, Message: reply}}
 	}
+	if req.Probe {
+		reply.Probe = true
+		return []Effect{Send{To: req.Member, Message: reply}}
+	}
 	p := w.promise(req.Member, req.Service)
 	reply.Sealed = p.sealed
 	reply.Granted = req.Generation > p.sealed
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -54,6 +54,7 @@
 			"tighten":     tighten,
 			"owner-is":    ownerIs,
 			"abandon-all": abandonAll,
+			"key-of":      keyOf,
 		},
 	})
 }
@@ -252,3 +253,16 @@
 	_, after, _ := strings.Cut(string(stat), ") ")
 	return strings.HasPrefix(after, "Z")
 }
+
+// key-of SERVER ENTRY VARIABLE finds a lot that a server owns.
+func keyOf(ts *testscript.TestScript, _ bool, args []string) {
+	for n := range 1000 {
+		key := fmt.Sprintf("L-%d", n)
+		ts.Check(ts.Exec("standin", "call", "http://"+args[1]+"/lots/"+key))
+		if strings.Contains(ts.ReadFile("stdout"), `"server":"`+args[0]+`"`) {
+			ts.Setenv(args[2], key)
+			return
+		}
+	}
+	ts.Fatalf("%s owns none of the lots", args[0])
+}
--- a/settings/document.go
+++ b/settings/document.go
@@ -285,6 +285,16 @@
 	return value
 }
 
+// addressOr reads an address that may be left out for another one.
+func (d *document) addressOr(name, fallback string) string {
+	if _, given := d.take(name); given {
+		return d.address(name)
+	}
+	value, _ := d.take(fallback)
+	address, _ := value.(string) // a wrong one is reported under its own name
+	return address
+}
+
 // finish adds the unknown fields and returns all problems in the order of the file.
 func (d *document) finish() error {
 	for name := range d.lines {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,8 @@
 // Listener is an address on which a daemon listens.
 type Listener struct {
 	Listen string
+	// Advertise is the address that others use, where it is not the one that is listened on.
+	Advertise string
 }
 
 // Backend is about the backend server beside the daemon.
@@ -105,8 +107,8 @@
 			Timeout: d.duration("platform.timeout", ptr(500*time.Millisecond), 10*time.Millisecond, time.Minute),
 		},
 		Caller:   Listener{Listen: d.address("caller.listen")},
-		Hop:      Listener{Listen: d.address("hop.listen")},
-		Peer:     Listener{Listen: d.address("peer.listen")},
+		Hop:      Listener{Listen: d.address("hop.listen"), Advertise: d.addressOr("hop.advertise", "hop.listen")},
+		Peer:     Listener{Listen: d.address("peer.listen"), Advertise: d.addressOr("peer.advertise", "peer.listen")},
 		Operator: Listener{Listen: d.address("operator.listen")},
 		Backend: Backend{
 			Listen: d.address("backend.listen"),
