--- a/cmd/timeline.go
+++ b/cmd/timeline.go
@@ -45,7 +45,7 @@
 		if !c.Follow {
 			return nil
 		}
-		time.Sleep(followPoll)
+		<-time.After(followPoll)
 	}
 }
 
