--- a/caller/relay.go
+++ b/caller/relay.go
@@ -60,13 +60,18 @@
 	r.throttle.forget(routes)
 }
 
+//go:generate go tool stringer -type=next -linecomment
+
 // next says what follows an attempt.
 type next int
 
 const (
-	finish next = iota
-	elsewhere
-	afterChange
+	// finish ends the call with the outcome of the attempt.
+	finish next = iota // finish
+	// elsewhere sends the call again, to another server if it has no key.
+	elsewhere // elsewhere
+	// afterChange sends the call again when the routes have changed.
+	afterChange // after_change
 )
 
 // Do brings a call to its outcome.
--- /dev/null
+++ b/timeline/timeline_test.go
@@ -0,0 +1,40 @@
+package timeline_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/onsi/gomega"
+
+	"github.com/skylarkrelay/skylarkrelay/timeline"
+)
+
+// A host whose clock runs behind still sorts its event after the one that it heard of.
+func TestMergeFollowsMessages(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	ahead := timeline.NewRing("ahead", 8, clockwork.NewFakeClockAt(now.Add(time.Minute)))
+	behind := timeline.NewRing("behind", 8, clockwork.NewFakeClockAt(now))
+	behind.Add(timeline.Event{Name: "before"})
+	behind.Witness(ahead.Add(timeline.Event{Name: "cause"}))
+	behind.Add(timeline.Event{Name: "effect"})
+	var names []string
+	for _, e := range timeline.Merge(behind.Since(timeline.Stamp{}), ahead.Since(timeline.Stamp{})) {
+		names = append(names, e.Host+" "+e.Name)
+	}
+	g.Expect(names).To(gomega.Equal([]string{"behind before", "ahead cause", "behind effect"}))
+}
+
+func TestRingKeepsTheNewestOfEachSort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ring := timeline.NewRing("h", 2, clockwork.NewFakeClock())
+	ring.Add(timeline.Event{Kind: timeline.Ownership, Name: "moved"})
+	for _, name := range []string{"1", "2", "3"} {
+		ring.Add(timeline.Event{Kind: timeline.Call, Name: name})
+	}
+	events := ring.Since(timeline.Stamp{})
+	g.Expect(events).To(gomega.HaveLen(3))
+	g.Expect(events[0].Name).To(gomega.Equal("moved"))
+	g.Expect(ring.Since(events[1].At)).To(gomega.HaveLen(1))
+}
