fix: control frames that cannot be read are reported

Cause: a frame that is no JSON, over the limit or not compressed ended the connection without a trace but a line of the library on standard error.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"strconv"
@@ -15,8 +16,10 @@
 // maxFrame bounds a control message, in bytes. The largest is a pushed value of the store in base64.
 const maxFrame = 2 << 20
 
-// boundedCodec frames JSON objects with their length. A frame over the bound ends the connection.
-type boundedCodec struct{}
+// boundedCodec frames JSON objects with their length. A frame that cannot be read is reported and ends the connection.
+type boundedCodec struct {
+	report func(error)
+}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (boundedCodec) WriteObject(stream io.Writer, obj any) error {
@@ -30,19 +33,40 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (c boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+	err := readFrame(stream, v)
+	var broken *MessageError
+	if errors.As(err, &broken) {
+		c.report(broken)
+	}
+	return err
+}
+
+// readFrame reads one frame. What is not a message at all is a MessageError; a connection that ended is not.
+func readFrame(stream *bufio.Reader, v any) error {
 	size, err := binary.ReadUvarint(stream)
 	if err != nil {
-		return err
+		return frameError(err)
 	}
 	if size > maxFrame {
 		return &MessageError{Method: "frame", Reason: strconv.FormatUint(size, 10) + " bytes are over the limit"}
 	}
 	data := make([]byte, size)
 	if _, err := io.ReadFull(stream, data); err != nil {
-		return err
+		return frameError(err)
 	}
-	return json.Unmarshal(data, v)
+	if err := json.Unmarshal(data, v); err != nil {
+		return &MessageError{Method: "frame", Reason: err.Error()}
+	}
+	return nil
+}
+
+func frameError(err error) error {
+	var corrupt flate.CorruptInputError
+	if errors.As(err, &corrupt) {
+		return &MessageError{Method: "frame", Reason: corrupt.Error()}
+	}
+	return err
 }
 
 // packLevel favours speed: the messages of a connection are so alike that any level makes them small.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -190,7 +190,9 @@
 	if err != nil {
 		return nil, &DialError{Address: to, Cause: err}
 	}
-	return jsonrpc2.NewConn(p.ctx, jsonrpc2.NewBufferedStream(packed, boundedCodec{}), nobody{}), nil
+	ignore := func(error) {} // an answer that cannot be read is a call that failed
+	stream := jsonrpc2.NewBufferedStream(packed, boundedCodec{report: ignore})
+	return jsonrpc2.NewConn(p.ctx, stream, nobody{}, quiet()), nil
 }
 
 // deadlineConn bounds each write, so that a frozen peer cannot hold its sender up for good.
--- a/peer/server.go
+++ b/peer/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"sync"
 
@@ -69,11 +71,14 @@
 		if err != nil {
 			return &ListenError{Cause: err}
 		}
-		stream := jsonrpc2.NewBufferedStream(packed, boundedCodec{})
-		s.add(jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()))
+		stream := jsonrpc2.NewBufferedStream(packed, boundedCodec{report: s.handler.Broken})
+		s.add(jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed(), quiet()))
 	}
 }
 
+// quiet keeps the library from writing to standard error by itself: what is broken is reported.
+func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(log.New(io.Discard, "", 0)) }
+
 // ListenError reports a listener that broke.
 type ListenError struct{ Cause error }
 
