--- a/admission/baselines.go
+++ b/admission/baselines.go
@@ -133,3 +133,13 @@
 	}
 	return waiting
 }
+
+func (b *baseline) Know(_ time.Time, c *class.Class) {
+	if b.queues[c.Name] == nil {
+		b.names = append(b.names, c.Name)
+		b.classes[c.Name] = *c
+		b.queues[c.Name] = newQueue()
+	}
+}
+
+func (b *baseline) Backlog() time.Duration { return time.Duration(b.Waiting()) * firstService }
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -29,6 +29,8 @@
 type DeniedError struct {
 	Class  class.Name
 	Denial Denial
+	// Wait is when there will be room, for a call that was denied for lack of it.
+	Wait time.Duration
 }
 
 func (e *DeniedError) Error() string { return fmt.Sprintf("class %s: %s", e.Class, e.Denial) }
@@ -78,11 +80,16 @@
 
 // Acquire waits until the call may run. The ticket must be ended with Done. The call also stops waiting when
 // withdrawn closes.
-func (g *Gate) Acquire(ctx context.Context, name class.Name, deadline time.Time, withdrawn <-chan struct{}) (*Ticket, error) {
+func (g *Gate) Acquire(ctx context.Context, c *class.Class, deadline time.Time, withdrawn <-chan struct{}) (*Ticket, error) {
 	answer := make(chan bool, 1)
-	job := g.offer(name, deadline, answer)
+	job, wait := g.offer(c, deadline, answer)
 	if job == nil {
-		return nil, &DeniedError{Class: name, Denial: Crowded}
+		return nil, &DeniedError{Class: c.Name, Denial: Crowded, Wait: wait}
+	}
+	select {
+	case isLetIn := <-answer:
+		return g.ticket(job, isLetIn)
+	default:
 	}
 	timer := g.clock.NewTimer(deadline.Sub(job.Arrived))
 	defer timer.Stop()
@@ -97,7 +104,7 @@
 		denial = Withdrawn
 	}
 	if g.remove(job) {
-		return nil, &DeniedError{Class: name, Denial: denial}
+		return nil, &DeniedError{Class: c.Name, Denial: denial}
 	}
 	return g.ticket(job, <-answer) // decided in the same moment
 }
@@ -109,17 +116,23 @@
 	return &Ticket{gate: g, job: job, start: g.clock.Now()}, nil
 }
 
-func (g *Gate) offer(name class.Name, deadline time.Time, answer chan bool) *Job {
+func (g *Gate) offer(c *class.Class, deadline time.Time, answer chan bool) (*Job, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.nextID++
-	job := &Job{ID: g.nextID, Class: name, Arrived: now, Deadline: deadline, Data: answer}
+	job := &Job{ID: g.nextID, Class: c.Name, Arrived: now, Deadline: deadline, Data: answer}
+	g.policy.Know(now, c)
 	if !g.policy.Offer(now, job) {
-		return nil
+		return nil, g.wait()
 	}
 	g.pump()
-	return job
+	return job, 0
+}
+
+// wait returns how long a new call would wait for a place.
+func (g *Gate) wait() time.Duration {
+	return g.policy.Backlog() / time.Duration(g.limit.Current())
 }
 
 func (g *Gate) remove(job *Job) bool {
@@ -128,19 +141,27 @@
 	return g.policy.Remove(job)
 }
 
-// Done ends a ticket. A refused call was not begun, for lack of room at the server.
-func (t *Ticket) Done(isRefused bool) {
+// Done ends the ticket of a call that ran.
+func (t *Ticket) Done() {
+	t.end(func(now time.Time) {
+		took := now.Sub(t.start)
+		t.gate.policy.Done(now, t.job, took)
+		t.gate.limit.Done(t.job.Class, took)
+	})
+}
+
+// Shed ends the ticket of a call that the server refused for lack of room.
+func (t *Ticket) Shed() { t.end(func(time.Time) { t.gate.limit.Shed() }) }
+
+// Cancel ends the ticket of a call that did not run for another reason.
+func (t *Ticket) Cancel() { t.end(func(time.Time) {}) }
+
+func (t *Ticket) end(learn func(now time.Time)) {
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
 	g.running--
-	if isRefused {
-		g.limit.Shed()
-	} else {
-		g.policy.Done(now, t.job, now.Sub(t.start))
-		g.limit.Done(t.job.Class, now.Sub(t.start))
-	}
+	learn(g.clock.Now())
 	g.tellPlaces()
 	g.pump()
 }
@@ -171,11 +192,13 @@
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	Limit   int `json:"limit"`
+	// Wait is how long a new call would wait for a place.
+	Wait time.Duration `json:"wait_ns"`
 }
 
 // State returns the gate's present state.
 func (g *Gate) State() State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return State{Running: g.running, Waiting: g.policy.Waiting(), Limit: g.limit.Current()}
+	return State{Running: g.running, Waiting: g.policy.Waiting(), Limit: g.limit.Current(), Wait: g.wait()}
 }
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -30,6 +30,8 @@
 type Policy interface {
 	// SetClasses takes in the classes in force. Queued jobs stay queued.
 	SetClasses(now time.Time, classes []class.Class)
+	// Know takes in a class that may be newer than the last SetClasses, or left out of it.
+	Know(now time.Time, c *class.Class)
 	// Offer queues a job, or returns false for one that should not wait.
 	Offer(now time.Time, job *Job) bool
 	// Next is asked while the server has a free place. It returns the jobs that it drops, and at most
@@ -41,4 +43,6 @@
 	Remove(job *Job) bool
 	// Waiting returns how many jobs are queued.
 	Waiting() int
+	// Backlog returns how long the queued jobs would take one after the other.
+	Backlog() time.Duration
 }
--- a/admission/targets.go
+++ b/admission/targets.go
@@ -100,6 +100,30 @@
 	t.setFloors()
 }
 
+// defaultSuccess is the success target of a class for which operators give none.
+const defaultSuccess = 0.95
+
+// Know implements Policy.
+func (t *Targets) Know(now time.Time, c *class.Class) {
+	known := t.lanes[c.Name]
+	wanted := *c
+	if wanted.Success == 0 {
+		wanted.Success = defaultSuccess
+	}
+	isSame := known != nil && known.class.Rank == wanted.Rank && known.class.Latency == wanted.Latency &&
+		known.class.Success == wanted.Success
+	if isSame {
+		return
+	}
+	classes := []class.Class{wanted}
+	for _, l := range t.order {
+		if l.class.Name != c.Name {
+			classes = append(classes, l.class)
+		}
+	}
+	t.SetClasses(now, classes)
+}
+
 // Offer implements Policy.
 func (t *Targets) Offer(now time.Time, job *Job) bool {
 	t.roll(now)
@@ -235,6 +259,15 @@
 	return waiting
 }
 
+// Backlog implements Policy.
+func (t *Targets) Backlog() time.Duration {
+	var work time.Duration
+	for _, l := range t.lanes {
+		work += time.Duration(l.queue.len()+l.late.len()) * l.service
+	}
+	return work
+}
+
 // refill gives each class the credit of its floor for the time gone by.
 func (t *Targets) refill(now time.Time) {
 	elapsed := now.Sub(t.refilledAt)
--- a/backend/client.go
+++ b/backend/client.go
@@ -1,252 +1,146 @@
+// Package backend speaks with the backend server beside a daemon: it gives it work inside the daemon's grants and tells
+// exactly what became of it.
 package backend
 
 import (
 	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
+	"net/url"
 	"strconv"
-	"sync/atomic"
+	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/link"
 )
 
-// dialTimeout bounds the making of a connection to the server on the same host.
-const dialTimeout = 250 * time.Millisecond
-
-// hopHeaders belong to one connection and are not passed on. The caller's idempotency key is left out too:
-// net/http replays requests that carry one.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	call.IdempotencyHeader, "X-Idempotency-Key", call.RepeatHeader, call.TimeoutHeader,
-}
+const (
+	// dialTimeout bounds the making of a connection to the backend server, which is on the same host.
+	dialTimeout = 250 * time.Millisecond
+	// silenceTimeout ends a connection to a backend server that acknowledges nothing.
+	silenceTimeout = 2 * time.Second
+	// idleTimeout is how long an unused connection is kept where the server does not say.
+	idleTimeout = 5 * time.Second
+	// maxAnswer bounds an answer's body.
+	maxAnswer = 64 << 20
+)
 
-// Client gives orders to one backend server.
+// Client gives work to one backend server.
 type Client struct {
-	address string
-	maxBody int64
-	clock   clockwork.Clock
-	http    *http.Client
-}
-
-// NewClient returns a client that keeps within the server's connections and reads answers up to maxBody bytes.
-func NewClient(a Announcement, maxBody int64, clock clockwork.Clock) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		MaxConnsPerHost:     a.Connections,
-		MaxIdleConnsPerHost: a.Slots,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn}, nil
-		},
-	}
-	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{
-		address: a.Address,
-		maxBody: maxBody,
-		clock:   clock,
-		http:    &http.Client{Transport: transport, CheckRedirect: noRedirects},
-	}
+	names call.Vocabulary
+	clock clockwork.Clock
+	pool  *link.Pool
 }
 
-// countedConn counts the bytes written, so that a failed order is known to have reached nobody.
-type countedConn struct {
-	net.Conn
-	written atomic.Int64
+// NewClient returns a client of the backend server at an address that keeps at most so many unused connections.
+func NewClient(address string, maxIdle int, names call.Vocabulary, onDial func(), clock clockwork.Clock) *Client {
+	return &Client{names: names, clock: clock, pool: link.NewPool(address, link.Options{
+		DialTimeout:    dialTimeout,
+		SilenceTimeout: silenceTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxIdle:        maxIdle,
+		MaxBody:        maxAnswer,
+		OnDial:         onDial,
+	}, clock)}
 }
 
-func (c *countedConn) Write(b []byte) (int, error) {
-	c.written.Add(int64(len(b))) // counted first: bytes in a failed write may have left
-	return c.Conn.Write(b)
-}
-
-// sending watches how far an order has got.
-type sending struct {
-	conn   atomic.Pointer[countedConn]
-	before atomic.Int64
-	begun  atomic.Bool
-}
-
-func (s *sending) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*countedConn); ok {
-				s.before.Store(conn.written.Load())
-				s.conn.Store(conn)
-			}
-		},
-		Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
-			if code == http.StatusProcessing {
-				s.begun.Store(true)
-			}
-			return nil
-		},
+// Close ends the idle connections.
+func (c *Client) Close() { c.pool.Close() }
+
+// Do gives a call to one life of the backend server and returns its answer, or what is known of it.
+func (c *Client) Do(ctx context.Context, work call.Call, instance string) call.Answer {
+	left := work.Deadline.Sub(c.clock.Now()).Milliseconds()
+	if left < 1 {
+		return call.NotRun(call.Late)
+	}
+	header := work.Header.Clone()
+	header.Set(c.names.DeadlineMS, strconv.FormatInt(left, 10))
+	header.Set(c.names.Origin, string(work.Origin))
+	if instance != "" {
+		header.Set(c.names.ExpectedInstance, instance)
+	}
+	request := NewRequest(work, header)
+	response, err := c.pool.Do(ctx, request, func(r *http.Response) bool {
+		echo := r.Header.Get(c.names.RequestID)
+		isOwnRefusal := echo == "" && c.isRefusal(r.StatusCode, r.Header)
+		return echo == string(work.ID) || isOwnRefusal
+	})
+	if err != nil {
+		return Failed(ctx, err, !c.clock.Now().Before(work.Deadline))
 	}
+	return c.read(response)
 }
 
-// isUnsent tells whether no byte of the order left this host.
-func (s *sending) isUnsent() bool {
-	conn := s.conn.Load()
-	return conn == nil || conn.written.Load() == s.before.Load()
+func (c *Client) isRefusal(status int, header http.Header) bool {
+	return status == http.StatusMisdirectedRequest || header.Get(c.names.NotExecuted) != ""
 }
 
-// onceBody is a body that net/http cannot rewind.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
-// OnceBody returns a request body that net/http cannot rewind, so that it never replays the request by itself.
-func OnceBody(data []byte) io.ReadCloser { return onceBody{bytes.NewReader(data)} }
-
-// Do gives an order and returns the whole answer, or what is known of it.
-func (c *Client) Do(ctx context.Context, work call.Call, o Order, grant time.Duration) call.Answer {
-	progress := &sending{}
-	ctx = httptrace.WithClientTrace(ctx, progress.trace())
-	request, err := c.request(ctx, work, o, grant)
-	if err != nil {
-		return call.NotRun(call.BadRequest)
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return failed(ctx, progress)
-	}
-	defer response.Body.Close()
-	if refusal := response.Header.Get(RefusedHeader); refusal != "" {
-		_, _ = io.Copy(io.Discard, response.Body) // so that the connection can be used again
-		if refusal == Shed.String() {
+// read tells what an answer says of the call.
+func (c *Client) read(r *link.Response) call.Answer {
+	if c.isRefusal(r.Status, r.Header) {
+		if r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests {
 			return call.NotRun(call.Shed)
 		}
 		return call.NotRun(call.Refused)
 	}
-	echo := response.Header.Get(RequestHeader)
-	if echo != "" && echo != string(work.ID) {
+	if r.Header.Get(c.names.Signature) == "" {
 		return call.Unknown(call.AnswerLost)
 	}
-	body, ok := ReadWhole(response, c.maxBody)
-	if !ok {
+	call.StripConnection(r.Header)
+	return call.Answer{Outcome: class.Answered, Status: r.Status, Header: r.Header, Body: r.Body}
+}
+
+// NewRequest builds the request of a call with given headers.
+func NewRequest(work call.Call, header http.Header) *http.Request {
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // none is sent where the caller sent none
+	}
+	request := &http.Request{
+		Method:        work.Method,
+		URL:           targetOf(work.URI),
+		Host:          work.Host,
+		Header:        header,
+		ContentLength: int64(len(work.Body)),
+		Body:          http.NoBody,
+	}
+	if len(work.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(work.Body))
+	}
+	return request
+}
+
+// targetOf keeps a request target byte for byte.
+func targetOf(uri string) *url.URL {
+	if strings.HasPrefix(uri, "//") {
+		path, query, _ := strings.Cut(uri, "?")
+		return &url.URL{Path: path, RawPath: path, RawQuery: query}
+	}
+	return &url.URL{Opaque: uri}
+}
+
+// Failed tells what a request that failed may have done.
+func Failed(ctx context.Context, err error, isOver bool) call.Answer {
+	var unsent *link.UnsentError
+	isUnsent := errors.As(err, &unsent)
+	isCancelled := errors.Is(context.Cause(ctx), context.Canceled)
+	switch {
+	case isUnsent && isOver:
+		return call.NotRun(call.Late)
+	case isUnsent && isCancelled:
+		return call.NotRun(call.CallerGone)
+	case isUnsent:
+		return call.NotRun(call.Unreachable)
+	case isOver || errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return call.Unknown(call.TimedOut)
+	case isCancelled:
+		return call.Unknown(call.CallerGone)
+	default:
 		return call.Unknown(call.AnswerLost)
 	}
-	header := response.Header.Clone()
-	strip(header)
-	return call.Answer{Outcome: class.Answered, Status: response.StatusCode, Header: header, Body: body}
-}
-
-func (c *Client) request(ctx context.Context, work call.Call, o Order, grant time.Duration) (*http.Request, error) {
-	body := OnceBody(work.Body)
-	request, err := http.NewRequestWithContext(ctx, work.Method, "http://"+c.address+work.URI, body)
-	if err != nil {
-		return nil, &OrderError{Header: "URI"}
-	}
-	request.ContentLength = int64(len(work.Body))
-	if len(work.Body) == 0 && work.Class.Idempotent {
-		request.Body = http.NoBody // only idempotent work may be replayed by net/http
-	}
-	request.Header = work.Header.Clone()
-	if request.Header == nil {
-		request.Header = http.Header{}
-	}
-	strip(request.Header)
-	request.Header.Set(EpochHeader, strconv.FormatUint(uint64(o.Epoch), 10))
-	request.Header.Set(SlotHeader, strconv.Itoa(o.Slot))
-	request.Header.Set(FenceHeader, strconv.FormatUint(uint64(o.Fence), 10))
-	request.Header.Set(DeadlineHeader, strconv.FormatInt(o.Deadline.Milliseconds(), 10))
-	request.Header.Set(GrantHeader, strconv.FormatInt(grant.Milliseconds(), 10))
-	request.Header.Set(RequestHeader, string(work.ID))
-	request.Header.Set(ClassHeader, string(work.Class.Name))
-	return request, nil
-}
-
-// failed tells what a broken order may have done.
-func failed(ctx context.Context, progress *sending) call.Answer {
-	reason := call.AnswerLost
-	if ctx.Err() != nil {
-		reason = call.Interrupted
-	}
-	if !progress.isUnsent() {
-		return call.Unknown(reason)
-	}
-	if reason == call.AnswerLost {
-		reason = call.Unreachable
-	}
-	return call.NotRun(reason)
-}
-
-// ReadWhole reads a body up to a size. A body whose end cannot be told from a cut is not whole.
-func ReadWhole(response *http.Response, maxBody int64) ([]byte, bool) {
-	hasEnd := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.ProtoMajor > 1
-	if !hasEnd || response.ContentLength > maxBody {
-		return nil, false
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
-	if err != nil || int64(len(body)) > maxBody {
-		return nil, false
-	}
-	return body, true
 }
-
-func strip(header http.Header) {
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-}
-
-// GrantError reports a backend server that did not take a grant.
-type GrantError struct {
-	Status int
-	Cause  error
-}
-
-func (e *GrantError) Error() string {
-	if e.Cause != nil {
-		return "grant: " + e.Cause.Error()
-	}
-	return "grant: status " + strconv.Itoa(e.Status)
-}
-
-// Unwrap returns the cause.
-func (e *GrantError) Unwrap() error { return e.Cause }
-
-// Grant extends the server's grant and returns the stamp for the next one.
-func (c *Client) Grant(ctx context.Context, g Grant) (Stamp, error) {
-	data, err := json.Marshal(g)
-	if err != nil {
-		return Stamp{}, &GrantError{Cause: err}
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+GrantPath, bytes.NewReader(data))
-	if err != nil {
-		return Stamp{}, &GrantError{Cause: err}
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return Stamp{}, &GrantError{Cause: err}
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return Stamp{}, &GrantError{Cause: err}
-	}
-	if response.StatusCode != http.StatusOK {
-		return Stamp{}, &GrantError{Status: response.StatusCode}
-	}
-	var stamp Stamp
-	if err := json.Unmarshal(body, &stamp); err != nil {
-		return Stamp{}, &GrantError{Cause: err}
-	}
-	return stamp, nil
-}
-
-// Close ends the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
--- a/call/reason_string.go
+++ b/call/reason_string.go
@@ -10,9 +10,9 @@
 	var x [1]struct{}
 	_ = x[None-0]
 	_ = x[UnknownClass-1]
-	_ = x[MissingKey-2]
+	_ = x[BadRequest-2]
 	_ = x[TooLarge-3]
-	_ = x[BadRequest-4]
+	_ = x[NotConfigured-4]
 	_ = x[NoServer-5]
 	_ = x[NotOwner-6]
 	_ = x[Overload-7]
@@ -21,14 +21,13 @@
 	_ = x[Shed-10]
 	_ = x[Unreachable-11]
 	_ = x[AnswerLost-12]
-	_ = x[Interrupted-13]
-	_ = x[MemoryLost-14]
-	_ = x[CallerGone-15]
+	_ = x[TimedOut-13]
+	_ = x[CallerGone-14]
 }
 
-const _Reason_name = "noneunknown_classmissing_keytoo_largebad_requestno_servernot_owneroverloadlaterefusedshedunreachableanswer_lostinterruptedmemory_lostcaller_gone"
+const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredno_servernot_owneroverloadlaterefusedshedunreachableanswer_losttimed_outcaller_gone"
 
-var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 48, 57, 66, 74, 78, 85, 89, 100, 111, 122, 133, 144}
+var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 60, 69, 77, 81, 88, 92, 103, 114, 123, 134}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/call/write.go
+++ b/call/write.go
@@ -2,28 +2,21 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
-// Headers that callers see.
 const (
-	OutcomeHeader = "Skylark-Outcome"
-	RequestHeader = "Skylark-Request"
-	HostHeader    = "Skylark-Host"
-	// IdempotencyHeader carries the caller's own key for a request.
-	IdempotencyHeader = "Idempotency-Key"
-	// RepeatHeader marks a request that the caller sends again.
-	RepeatHeader = "Skylark-Repeat"
-	// TimeoutHeader lets a caller shorten the class's timeout; its value is a duration such as "300ms".
-	TimeoutHeader = "Skylark-Timeout"
+	// leastRetryAfter is the shortest pause that callers are asked for: one round trip of a distant caller.
+	leastRetryAfter = 20 * time.Millisecond
+	// defaultRetryAfter is the pause where nothing says when there will be room.
+	defaultRetryAfter = 100 * time.Millisecond
 )
 
-// retryAfter is the pause that callers are asked for, in seconds.
-const retryAfter = "1"
-
 // Apology is the body of a call that was not answered. It may be screenshotted: plain words and no internals.
 type Apology struct {
 	Outcome string          `json:"outcome"`
@@ -31,43 +24,68 @@
 	Request class.RequestID `json:"request"`
 }
 
-// Write sends an answer to the caller: the backend server's whole answer, or an apology.
-func Write(w http.ResponseWriter, id class.RequestID, a Answer) {
+// Write sends an answer to the caller: the backend server's whole answer, or an apology. An error means that the
+// caller was gone.
+func Write(w http.ResponseWriter, id class.RequestID, requestHeader string, a Answer) error {
 	header := w.Header()
-	header.Set(OutcomeHeader, a.Outcome.String())
-	header.Set(RequestHeader, string(id))
 	if a.Outcome == class.Answered {
 		for name, values := range a.Header {
 			header[name] = values
 		}
-		header.Set(HostHeader, a.Host)
 		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		if _, ok := header["Content-Type"]; !ok {
+			header["Content-Type"] = nil // keeps net/http from guessing one
+		}
 		w.WriteHeader(a.Status)
-		_, _ = w.Write(a.Body) // a caller that is gone cannot be told
-		return
+		_, err := w.Write(a.Body)
+		return err
 	}
 	status, message := apologise(a)
 	body, err := json.Marshal(Apology{Outcome: a.Outcome.String(), Message: message, Request: id})
 	if err != nil {
-		panic(err) // an Apology holds nothing that JSON refuses
+		return err
 	}
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if id != "" {
+		header.Set(requestHeader, string(id))
+	}
 	if status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", retryAfter)
+		header.Set("Retry-After", retryAfter(a.RetryAfter))
 	}
 	w.WriteHeader(status)
-	_, _ = w.Write(body) // a caller that is gone cannot be told
+	_, err = w.Write(body)
+	return err
+}
+
+// Status returns the status with which a caller is told an answer.
+func Status(a Answer) int {
+	if a.Outcome == class.Answered {
+		return a.Status
+	}
+	status, _ := apologise(a)
+	return status
+}
+
+// retryAfter formats a pause in seconds with a fraction.
+func retryAfter(pause time.Duration) string {
+	if pause <= 0 {
+		pause = defaultRetryAfter
+	}
+	pause = max(pause, leastRetryAfter)
+	return strconv.FormatFloat(math.Ceil(pause.Seconds()*1000)/1000, 'f', -1, 64)
 }
 
 // apologise chooses status and words.
 func apologise(a Answer) (int, string) {
 	switch {
+	case a.Outcome == class.Unknown && a.Reason == TimedOut:
+		return http.StatusGatewayTimeout, "We could not confirm your request in time. Please check before you send it again."
 	case a.Outcome == class.Unknown:
-		return http.StatusGatewayTimeout, "We could not confirm your request. Please check before you send it again."
+		return http.StatusBadGateway, "We could not confirm your request. Please check before you send it again."
 	case a.Reason == UnknownClass:
 		return http.StatusNotFound, "There is nothing at this address."
-	case a.Reason == MissingKey || a.Reason == BadRequest:
+	case a.Reason == BadRequest:
 		return http.StatusBadRequest, "The request is incomplete. Nothing was done."
 	case a.Reason == TooLarge:
 		return http.StatusRequestEntityTooLarge, "The request is too large. Nothing was done."
--- a/caller/entry.go
+++ b/caller/entry.go
@@ -2,182 +2,194 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
-	"github.com/skylarkrelay/skylarkrelay/timeline"
 )
 
-// openTimeout is how long a call waits for a daemon that has just started.
-const openTimeout = 2 * time.Second
-
-// Classes is the classes in force, ready for use.
-type Classes struct {
-	class.Set
+// Config is the operators' configuration, ready for use.
+type Config struct {
+	*class.Config
 	Router *class.Router
 }
 
+// Finished is a call that was answered, for logs and metrics.
+type Finished struct {
+	Call    call.Call
+	Answer  call.Answer
+	Took    time.Duration
+	Version class.Version
+}
+
 // Entry serves callers over HTTP.
 type Entry struct {
-	clock    clockwork.Clock
-	relay    *Relay
-	slots    int
-	maxBody  int64
-	registry metrics.Registry
-	ring     *timeline.Ring
-	classes  atomic.Pointer[Classes]
-	closing  atomic.Bool
-	ready    chan struct{}
+	clock   clockwork.Clock
+	relay   *Relay
+	names   call.Vocabulary
+	origin  class.Service
+	finish  func(Finished)
+	config  atomic.Pointer[Config]
+	closing atomic.Bool
+	active  atomic.Int64
 }
 
-// NewEntry returns an entry without classes.
-func NewEntry(relay *Relay, slots int, maxBody int64, registry metrics.Registry, ring *timeline.Ring, clock clockwork.Clock) *Entry {
-	e := &Entry{clock: clock, relay: relay, slots: slots, maxBody: maxBody, registry: registry, ring: ring, ready: make(chan struct{})}
-	router, err := class.NewRouter(nil)
-	if err != nil {
-		panic(err) // an empty set of classes has no clash
-	}
-	e.classes.Store(&Classes{Router: router})
-	return e
+// NewEntry returns an entry without a configuration, beside a backend server of a service.
+func NewEntry(relay *Relay, origin class.Service, names call.Vocabulary, finish func(Finished), clock clockwork.Clock) *Entry {
+	return &Entry{clock: clock, relay: relay, names: names, origin: origin, finish: finish}
 }
 
-// SetClasses puts classes in force.
-func (e *Entry) SetClasses(c *Classes) { e.classes.Store(c) }
-
-// Classes returns the classes in force.
-func (e *Entry) Classes() *Classes { return e.classes.Load() }
-
-// Open lets calls in: the configuration is known now. Until then they wait for a short while.
-func (e *Entry) Open() { close(e.ready) }
+// SetConfig puts a configuration in force.
+func (e *Entry) SetConfig(c *class.Config) {
+	e.config.Store(&Config{Config: c, Router: class.NewRouter(c.Classes)})
+}
 
-// awaitOpen returns false if the entry was not opened in time.
-func (e *Entry) awaitOpen(ctx context.Context) bool {
-	select {
-	case <-e.ready:
-		return true
-	default:
-	}
-	select {
-	case <-e.ready:
-		return true
-	case <-e.clock.After(openTimeout):
-	case <-ctx.Done():
+// Config returns the configuration in force, or nil.
+func (e *Entry) Config() *class.Config {
+	if c := e.config.Load(); c != nil {
+		return c.Config
 	}
-	return false
+	return nil
 }
 
 // Close asks callers, with each answer, to use another daemon from now on.
 func (e *Entry) Close() { e.closing.Store(true) }
 
+// Active returns how many calls are being served.
+func (e *Entry) Active() int { return int(e.active.Load()) }
+
 // ServeHTTP brings one call to its outcome.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.active.Add(1)
+	defer e.active.Add(-1)
 	start := e.clock.Now()
-	c, answer, ok := e.read(w, r, start)
+	config := e.config.Load()
+	c, answer, ok := e.read(w, r, config, start)
 	if ok {
-		answer = e.relay.Do(r.Context(), c)
+		ctx, cancel := clockwork.WithDeadline(r.Context(), e.clock, c.Deadline)
+		answer = e.relay.Do(ctx, c)
+		cancel()
 	}
-	e.record(c, answer, start)
 	if e.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	call.Write(w, c.ID, answer)
+	// A caller that is gone cannot be told; its request ends as any other.
+	if err := call.Write(w, c.ID, e.names.RequestID, answer); err != nil {
+		answer.Reason = call.CallerGone
+	}
+	finished := Finished{Call: c, Answer: answer, Took: e.clock.Since(start)}
+	if config != nil {
+		finished.Version = config.Version
+	}
+	e.finish(finished)
 }
 
 // read turns a request into a call, or into the answer that refuses it.
-func (e *Entry) read(w http.ResponseWriter, r *http.Request, now time.Time) (call.Call, call.Answer, bool) {
+func (e *Entry) read(w http.ResponseWriter, r *http.Request, config *Config, now time.Time) (call.Call, call.Answer, bool) {
 	c := call.Call{
-		ID:     class.RequestID(rand.Text()),
-		Slot:   call.Unkeyed,
+		ID:     class.RequestID(r.Header.Get(e.names.RequestID)),
+		Origin: e.origin,
 		Method: r.Method,
-		URI:    r.URL.RequestURI(),
+		URI:    r.RequestURI,
+		Host:   r.Host,
 		Header: r.Header,
 	}
-	if !e.awaitOpen(r.Context()) {
-		return c, call.NotRun(call.NoServer), false
+	if config == nil {
+		return c, call.NotRun(call.NotConfigured), false
 	}
-	found, key, ok := e.classes.Load().Router.Match(r)
-	if !ok {
+	found := config.Router.Match(r.Host, r.URL.EscapedPath())
+	if found == nil {
 		return c, call.NotRun(call.UnknownClass), false
 	}
 	c.Class = found
-	c.Key = key
-	if found.Keyed && key == "" {
-		return c, call.NotRun(call.MissingKey), false
-	}
-	if found.Keyed {
-		c.Slot = int(class.SlotOf(key, e.slots))
-	}
-	timeout, ok := timeoutOf(r, found.Timeout)
+	c.Service = choose(found.Destinations)
+	timeout, ok := e.timeout(r, found)
 	if !ok {
 		return c, call.NotRun(call.BadRequest), false
 	}
 	c.Deadline = now.Add(timeout)
-	c.Idempotency = r.Header.Get(call.IdempotencyHeader)
-	c.IsRepeat = r.Header.Get(call.RepeatHeader) != ""
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.maxBody))
-	if err != nil {
-		return c, call.NotRun(bodyReason(err)), false
+	if text := r.Header.Get(e.names.Key); text != "" && config.Services[c.Service].IsKeyed {
+		key, err := strconv.ParseUint(text, 10, 16)
+		if err != nil {
+			return c, call.NotRun(call.BadRequest), false
+		}
+		c.Key, c.HasKey = class.Key(key), true
+	}
+	body, reason := readBody(w, r, config.Limits.BodyBytes)
+	if reason != call.None {
+		return c, call.NotRun(reason), false
 	}
 	c.Body = body
+	call.StripConnection(c.Header)
+	call.StripInternal(c.Header)
 	return c, call.Answer{}, true
 }
 
-// timeoutOf returns the caller's own timeout where it is shorter than the class's.
-func timeoutOf(r *http.Request, most time.Duration) (time.Duration, bool) {
-	text := r.Header.Get(call.TimeoutHeader)
+// timeout returns how long the caller will wait: its own word where that is shorter than the class's.
+func (e *Entry) timeout(r *http.Request, found *class.Class) (time.Duration, bool) {
+	text := r.Header.Get(e.names.DeadlineMS)
 	if text == "" {
-		return most, true
+		return found.Timeout, true
 	}
-	wanted, err := time.ParseDuration(text)
-	if err != nil || wanted <= 0 {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || ms <= 0 {
 		return 0, false
 	}
-	return min(wanted, most), true
+	own := time.Duration(ms * float64(time.Millisecond))
+	if found.Timeout <= 0 {
+		return own, true
+	}
+	return min(own, found.Timeout), true
 }
 
-func bodyReason(err error) call.Reason {
+// readBody reads the whole body, so that nothing is sent on of a request that breaks off.
+func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, call.Reason) {
+	if r.ContentLength == 0 {
+		return nil, call.None
+	}
+	reader := r.Body
+	if most > 0 {
+		reader = http.MaxBytesReader(w, r.Body, most)
+	}
+	body, err := io.ReadAll(reader)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return call.TooLarge
+	switch {
+	case err == nil:
+		return body, call.None
+	case errors.As(err, &tooLarge):
+		return nil, call.TooLarge
+	case errors.Is(err, context.Canceled):
+		return nil, call.CallerGone
+	default:
+		return nil, call.BadRequest
 	}
-	return call.BadRequest
 }
 
-// record counts the outcome and puts it on the time line.
-func (e *Entry) record(c call.Call, a call.Answer, start time.Time) {
-	took := e.clock.Since(start)
-	name := string(c.Class.Name)
-	if name == "" {
-		name = "none"
-	}
-	prefix := "class." + name
-	metrics.GetOrRegisterCounter(prefix+"."+a.Outcome.String(), e.registry).Inc(1)
-	if a.Outcome == class.Answered {
-		metrics.GetOrRegisterTimer(prefix+".latency", e.registry).Update(took)
-	}
-	if a.Outcome == class.Answered && took <= c.Class.Latency {
-		metrics.GetOrRegisterCounter(prefix+".in_target", e.registry).Inc(1)
-	}
-	detail := "by " + a.Host
-	if a.Outcome != class.Answered {
-		detail = a.Reason.String()
-	}
-	e.ring.Add(timeline.Event{
-		Kind:    timeline.Call,
-		Name:    a.Outcome.String(),
-		Service: string(c.Class.Service),
-		Class:   string(c.Class.Name),
-		Key:     string(c.Key),
-		Request: string(c.ID),
-		Detail:  detail,
-	})
+// choose picks one of the services that share a class, by weight.
+func choose(destinations []class.Destination) class.Service {
+	if len(destinations) == 1 {
+		return destinations[0].Service
+	}
+	total := 0
+	for _, d := range destinations {
+		total += d.Weight
+	}
+	if total <= 0 {
+		return destinations[0].Service
+	}
+	ticket := rand.IntN(total)
+	for _, d := range destinations {
+		if ticket -= d.Weight; ticket < 0 {
+			return d.Service
+		}
+	}
+	return destinations[len(destinations)-1].Service
 }
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -13,156 +13,194 @@
 )
 
 const (
+	// holdShare is the part of a call's remaining time for which it is held while its key has no server.
+	holdShare = 0.3
 	// reroutePause is the wait before a call is sent again when the routes have not changed meanwhile.
-	reroutePause = 10 * time.Millisecond
-	// retryPause is the wait before idempotent work is sent again after its answer was lost.
-	retryPause = 25 * time.Millisecond
+	reroutePause = 15 * time.Millisecond
+	// returnShare is the part of its remaining time after which a caller should come back for a key without a server.
+	returnShare = 0.25
+	// retryReserve is the part of a class's latency target that must be left to try once more.
+	retryReserve = 0.25
 )
 
-// Sender gives a call to a daemon.
+// Sender gives a call to the daemon beside a server.
 type Sender interface {
-	Send(ctx context.Context, to *ownership.Member, c call.Call) call.Answer
+	Send(ctx context.Context, to *Server, c call.Call) call.Answer
 }
 
-// Relay brings a call to the daemon that owns its key, or to one that suits it, and sends it again where that is
-// safe: work that surely did not run always, idempotent work from a budget, and nothing because of an overload.
+// Attempt is one sending of a call, for the log.
+type Attempt struct {
+	Call   call.Call
+	Host   ownership.HostID
+	Answer call.Answer
+	Took   time.Duration
+}
+
+// Relay brings a call to the daemon beside the server that owns its key, or beside one that suits it, and sends it again
+// where that is safe: work that surely did not run, and idempotent work from a budget.
 type Relay struct {
 	clock    clockwork.Clock
 	table    *Table
 	sender   Sender
 	balancer *balancer
-	throttle *throttle
-	budget   *budget
-	inFlight *inFlight
+	budget   *Budget
+	observe  func(Attempt)
 }
 
-// NewRelay returns a relay for a daemon in a failure domain.
-func NewRelay(domain ownership.Domain, table *Table, sender Sender, clock clockwork.Clock, seed uint64) *Relay {
+// NewRelay returns a relay for a daemon in a failure domain. It reports each attempt that was not answered.
+func NewRelay(domain ownership.Domain, table *Table, sender Sender, budget *Budget, observe func(Attempt), clock clockwork.Clock, seed uint64) *Relay {
 	return &Relay{
 		clock:    clock,
 		table:    table,
 		sender:   sender,
 		balancer: newBalancer(domain, clock, rand.New(rand.NewPCG(seed, 1))),
-		throttle: newThrottle(clock, rand.New(rand.NewPCG(seed, 2))),
-		budget:   newBudget(),
-		inFlight: newInFlight(),
+		budget:   budget,
+		observe:  observe,
 	}
 }
 
-// Update drops what is known of daemons that are in no cell any more, and ends the wait for answers of lost ones.
-func (r *Relay) Update(routes Routes) {
-	for _, record := range routes {
-		for _, lost := range record.Lost {
-			r.inFlight.abort(lost)
-		}
-	}
-	r.balancer.forget(routes)
-	r.throttle.forget(routes)
+// Update drops what is known of daemons that are in no cell any more.
+func (r *Relay) Update(routes Routes) { r.balancer.forget(routes) }
+
+// journey is one call on its way through the attempts.
+type journey struct {
+	call call.Call
+	// tried holds the servers without a key that were asked.
+	tried map[ownership.HostID]bool
+	// sent counts the servers that may have got the call.
+	sent int
+	// heldUntil is until when the call waits for its key to have a server.
+	heldUntil time.Time
+	last      call.Answer
+	// mayHaveRun says that an attempt had no answer.
+	mayHaveRun bool
 }
 
-//go:generate go tool stringer -type=next -linecomment
-
-// next says what follows an attempt.
-type next int
-
-const (
-	// finish ends the call with the outcome of the attempt.
-	finish next = iota // finish
-	// elsewhere sends the call again, to another server if it has no key.
-	elsewhere // elsewhere
-	// afterChange sends the call again when the routes have changed.
-	afterChange // after_change
-)
-
 // Do brings a call to its outcome.
 func (r *Relay) Do(ctx context.Context, c call.Call) call.Answer {
-	tried := map[ownership.Ref]bool{}
-	last := call.NotRun(call.NoServer)
-	mayHaveRun := false
+	now := r.clock.Now()
+	j := &journey{
+		call:      c,
+		tried:     map[ownership.HostID]bool{},
+		heldUntil: now.Add(time.Duration(holdShare * float64(c.Deadline.Sub(now)))),
+		last:      call.NotRun(call.NoServer),
+	}
+	r.budget.Earn(c.Service)
 	for {
-		record, changed := r.table.Cell(c.Class.Service)
-		target := r.target(record, c, tried)
-		step := afterChange
-		pause := reroutePause
-		if target != nil {
-			last = r.attempt(ctx, target, c)
-			tried[target.Ref] = true
-			step = r.decide(c, last)
-			if last.Outcome == class.Unknown {
-				mayHaveRun = true
-				pause = retryPause
+		cell, changed := r.table.Cell(c.Service)
+		target := r.target(cell, j)
+		if target == nil {
+			if !r.mayWait(cell, j) || !r.pause(ctx, j, changed) {
+				return r.conclude(ctx, j)
 			}
-		}
-		if target == nil && len(tried) > 0 {
-			clear(tried) // all were tried: begin again after a pause
-		}
-		if step == finish {
-			return conclude(last, mayHaveRun)
-		}
-		if step == elsewhere && target != nil && c.Slot == call.Unkeyed {
 			continue
 		}
-		if !r.pause(ctx, c.Deadline, changed, pause) {
-			return conclude(r.outOfTime(ctx, last), mayHaveRun)
+		if j.sent > 0 && !r.budget.Spend(c.Service) {
+			return r.conclude(ctx, j)
+		}
+		r.attempt(ctx, target, j)
+		switch r.decide(j) {
+		case finish:
+			return r.conclude(ctx, j)
+		case afterChange:
+			if !r.pause(ctx, j, changed) {
+				return r.conclude(ctx, j)
+			}
+		case elsewhere:
 		}
 	}
 }
 
-// conclude keeps an earlier unknown outcome: a later attempt that did not run does not undo it.
-func conclude(last call.Answer, mayHaveRun bool) call.Answer {
-	if mayHaveRun && last.Outcome == class.NotRun {
-		return call.Unknown(call.AnswerLost)
+// target returns the server to ask, or nil if none is known.
+func (r *Relay) target(cell *Cell, j *journey) *Server {
+	if cell == nil {
+		return nil
 	}
-	return last
-}
-
-func (r *Relay) outOfTime(ctx context.Context, last call.Answer) call.Answer {
-	if ctx.Err() != nil && last.Outcome == class.NotRun {
-		return call.NotRun(call.CallerGone)
+	if cell.IsKeyed && j.call.HasKey {
+		return cell.owner(j.call.Key)
 	}
-	return last
+	return r.balancer.pick(cell, j.tried)
 }
 
-// target returns the daemon to ask, or nil if none is known.
-func (r *Relay) target(record *ownership.Record, c call.Call, tried map[ownership.Ref]bool) *ownership.Member {
-	if record == nil {
-		return nil
-	}
-	if c.Slot == call.Unkeyed {
-		return r.balancer.pick(record, tried)
-	}
-	return record.Owner(class.Slot(c.Slot))
+// mayWait tells whether a server may turn up while the call is held: only keys move within a call's time.
+func (r *Relay) mayWait(cell *Cell, j *journey) bool {
+	return cell != nil && cell.IsKeyed && j.call.HasKey
 }
 
-func (r *Relay) attempt(ctx context.Context, target *ownership.Member, c call.Call) call.Answer {
-	f := flow{to: target.Ref, class: c.Class.Name}
-	if !r.throttle.allow(f) {
-		return call.NotRun(call.Overload)
-	}
-	ctx, forget := r.inFlight.add(ctx, target.Ref)
-	defer forget()
-	end := r.balancer.begin(target.Ref)
-	answer := r.sender.Send(ctx, target, c)
+func (r *Relay) attempt(ctx context.Context, target *Server, j *journey) {
+	j.call.IsRepeat = j.sent > 0
+	end := r.balancer.begin(target.Host)
+	start := r.clock.Now()
+	answer := r.sender.Send(ctx, target, j.call)
 	end(answer)
-	r.throttle.ended(f, answer)
-	if answer.Outcome == class.Answered {
-		r.budget.earn()
+	j.last = answer
+	j.tried[target.Host] = true
+	wasSent := answer.Outcome != class.NotRun || answer.Reason == call.Refused || answer.Reason == call.Shed
+	if wasSent {
+		j.sent++
+	}
+	j.mayHaveRun = j.mayHaveRun || answer.Outcome == class.Unknown
+	if answer.Outcome != class.Answered {
+		r.observe(Attempt{Call: j.call, Host: target.Host, Answer: answer, Took: r.clock.Since(start)})
 	}
-	return answer
 }
 
+//go:generate go tool stringer -type=next -linecomment
+
+// next says what follows an attempt.
+type next int
+
+const (
+	// finish ends the call with the outcome of the attempt.
+	finish next = iota // finish
+	// elsewhere sends the call again, to another server if it has no key.
+	elsewhere // elsewhere
+	// afterChange sends the call again when the routes have changed.
+	afterChange // after_change
+)
+
 // decide tells whether a call is sent again.
-func (r *Relay) decide(c call.Call, a call.Answer) next {
-	switch a.Outcome {
+func (r *Relay) decide(j *journey) next {
+	hasAttempts := j.sent < j.call.Class.Attempts
+	switch j.last.Outcome {
 	case class.NotRun:
-		isMoving := a.Reason == call.NotOwner || a.Reason == call.Unreachable || a.Reason == call.Refused || a.Reason == call.NoServer
-		if isMoving {
+		return r.decideNotRun(j, hasAttempts)
+	case class.Unknown:
+		if j.call.Class.Idempotent && hasAttempts && j.last.Reason == call.AnswerLost && r.hasTime(j) {
 			return elsewhere
 		}
 		return finish
-	case class.Unknown:
-		isWorthwhile := a.Reason == call.AnswerLost || a.Reason == call.Interrupted
-		if c.Class.Idempotent && isWorthwhile && r.clock.Now().Before(c.Deadline) && r.budget.spend() {
+	default:
+		isFailure := j.last.Status >= leastServerError
+		if isFailure && j.call.Class.Idempotent && hasAttempts && r.hasTime(j) {
+			return elsewhere
+		}
+		return finish
+	}
+}
+
+func (r *Relay) decideNotRun(j *journey, hasAttempts bool) next {
+	switch j.last.Reason {
+	case call.NotOwner, call.Unreachable, call.NoServer:
+		if j.call.HasKey {
+			return afterChange
+		}
+		return elsewhere
+	case call.Refused:
+		if !hasAttempts {
+			return finish
+		}
+		if j.call.HasKey {
+			return afterChange
+		}
+		return elsewhere
+	case call.Shed:
+		if hasAttempts && !j.call.HasKey {
+			return elsewhere
+		}
+		return finish
+	case call.Overload, call.Late:
+		if !j.call.HasKey && r.hasTime(j) {
 			return elsewhere
 		}
 		return finish
@@ -171,13 +209,20 @@
 	}
 }
 
-// pause waits for the routes to change, for a short while at most. It returns false when time is up.
-func (r *Relay) pause(ctx context.Context, deadline time.Time, changed <-chan struct{}, most time.Duration) bool {
-	left := deadline.Sub(r.clock.Now())
+// hasTime tells whether enough of the call's time is left for another try.
+func (r *Relay) hasTime(j *journey) bool {
+	reserve := time.Duration(retryReserve * float64(j.call.Class.Latency))
+	return j.call.Deadline.Sub(r.clock.Now()) > reserve
+}
+
+// pause waits for the routes to change, for a short while at most. It returns false when the call should not be held
+// any longer.
+func (r *Relay) pause(ctx context.Context, j *journey, changed <-chan struct{}) bool {
+	left := j.heldUntil.Sub(r.clock.Now())
 	if left <= 0 {
 		return false
 	}
-	timer := r.clock.NewTimer(min(left, most))
+	timer := r.clock.NewTimer(min(left, reroutePause))
 	defer timer.Stop()
 	select {
 	case <-changed:
@@ -185,5 +230,24 @@
 	case <-ctx.Done():
 		return false
 	}
-	return r.clock.Now().Before(deadline)
+	return r.clock.Now().Before(j.heldUntil)
+}
+
+// conclude keeps an earlier unknown outcome: a later attempt that did not run does not undo it.
+func (r *Relay) conclude(ctx context.Context, j *journey) call.Answer {
+	answer := j.last
+	if answer.Outcome != class.NotRun {
+		return answer
+	}
+	if j.mayHaveRun {
+		return call.Unknown(call.AnswerLost)
+	}
+	if ctx.Err() != nil && answer.Reason != call.Late {
+		answer.Reason = call.CallerGone
+	}
+	isWithoutServer := answer.Reason == call.NotOwner || answer.Reason == call.Unreachable || answer.Reason == call.NoServer
+	if isWithoutServer {
+		answer.RetryAfter = time.Duration(returnShare * float64(j.call.Deadline.Sub(r.clock.Now())))
+	}
+	return answer
 }
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -1,20 +1,65 @@
-// Package caller serves the calls of callers: it finds the class and the owner of each, and answers for the outcome.
+// Package caller serves the calls of callers: it finds the class of each and a server for it, and answers for the outcome.
 package caller
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 )
 
-// Routes holds the newest known cell of each service.
-type Routes map[class.Service]*ownership.Record
+// Server is one backend server, with the daemon beside it.
+type Server struct {
+	Host   ownership.HostID
+	Domain ownership.Domain
+	// Hop is where its daemon takes forwarded calls.
+	Hop string
+	// IsUsable says that it may get new work.
+	IsUsable bool
+	Instance ownership.Instance
+	Places   int
+	// SlowUntil is until when it is slow after its start.
+	SlowUntil time.Time
+}
+
+// Cell is what is known of one service.
+type Cell struct {
+	IsKeyed bool
+	Servers []Server
+	// Record says who owns which keys of a keyed service; it may be unknown.
+	Record *ownership.Record
+	byHost map[ownership.HostID]*Server
+}
+
+// NewCell returns a cell.
+func NewCell(isKeyed bool, servers []Server, record *ownership.Record) *Cell {
+	c := &Cell{IsKeyed: isKeyed, Servers: servers, Record: record, byHost: map[ownership.HostID]*Server{}}
+	for i := range servers {
+		c.byHost[servers[i].Host] = &servers[i]
+	}
+	return c
+}
+
+// owner returns the usable server that owns a key, or nil.
+func (c *Cell) owner(key class.Key) *Server {
+	if c.Record == nil {
+		return nil
+	}
+	s := c.byHost[c.Record.Owner(key)]
+	if s == nil || !s.IsUsable {
+		return nil
+	}
+	return s
+}
+
+// Routes holds the cell of each service.
+type Routes map[class.Service]*Cell
 
-// knows tells whether a daemon is a member of any cell.
-func (r Routes) knows(ref ownership.Ref) bool {
-	for _, record := range r {
-		if record.Find(ref) != nil {
+// knows tells whether a host is in any cell.
+func (r Routes) knows(host ownership.HostID) bool {
+	for _, cell := range r {
+		if cell.byHost[host] != nil {
 			return true
 		}
 	}
@@ -45,7 +90,7 @@
 }
 
 // Cell returns the cell of a service, or nil, and a channel that closes when the routes change.
-func (t *Table) Cell(service class.Service) (*ownership.Record, <-chan struct{}) {
-	state := t.current.Load()
-	return state.routes[service], state.replaced
+func (t *Table) Cell(service class.Service) (*Cell, <-chan struct{}) {
+	s := t.current.Load()
+	return s.routes[service], s.replaced
 }
--- a/class/class.go
+++ b/class/class.go
@@ -1,11 +1,7 @@
 // Package class describes classes of work: what operators promise callers for each kind of request.
 package class
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // Name identifies a class of work, for example "hallmark-query".
 type Name string
@@ -13,60 +9,87 @@
 // Service identifies a group of backend servers that run the same program.
 type Service string
 
-// Slot is the unit of ownership: every key hashes to one slot of its service.
-type Slot uint16
-
-// RequestID identifies one call through every hop.
-type RequestID string
+// Key is the part of a service's state that a request is about. Services that are divided by key give each key to
+// exactly one backend server at a time.
+type Key uint16
 
-// Key is a caller's key: a lot, an order or a delivery.
-type Key string
+// KeyCount is how many keys a service has.
+const KeyCount = 1 << 16
 
-// SlotOf returns the slot of a key among count slots.
-func SlotOf(key Key, count int) Slot {
-	return Slot(xxhash.Sum64String(string(key)) % uint64(count))
-}
+// RequestID identifies one attempt of a caller through every hop.
+type RequestID string
 
 // Class is one kind of work and the promise that operators make for it.
 type Class struct {
-	Name    Name
-	Service Service
-	// Method and Path select the calls of the class. A keyed class names its key with the
-	// wildcard {key}, in the pattern language of net/http.ServeMux.
-	Method string
-	Path   string
-	// Rank orders classes by worth: 1 is the most urgent.
+	Name Name
+	// Host and Prefix select the requests of the class.
+	Host   string
+	Prefix string
+	// Destinations are the services that share the class, by weight.
+	Destinations []Destination
+	// Rank orders classes by urgency: 0 is the most urgent.
 	Rank Rank
 	// Latency is the time within which a call should be answered.
 	Latency time.Duration
-	// Timeout ends a call that brings no deadline of its own.
+	// Timeout is the longest time that a caller is kept waiting.
 	Timeout time.Duration
 	// Success is the share of calls, from 0 to 1, that must be answered.
 	Success float64
 	// Idempotent says that running a call twice does no harm.
 	Idempotent bool
-	// Keyed says that a call belongs to the server that owns its key.
-	Keyed bool
+	// Attempts bounds the backend servers to which one call may be sent.
+	Attempts int
 }
 
-// Rank orders classes: 1 is the most urgent.
+// Destination is a service that takes a share of a class.
+type Destination struct {
+	Service Service
+	Weight  int
+}
+
+// Rank orders classes: 0 is the most urgent.
 type Rank int
 
-// Set is the classes in force, at one revision of the configuration.
-type Set struct {
-	Revision Revision
-	Classes  []Class
+// Version counts the operators' configurations. Later ones are greater.
+type Version uint64
+
+// ServiceSettings is what operators say of a service.
+type ServiceSettings struct {
+	Name Service
+	// HealthPath is where its backend servers answer health checks.
+	HealthPath string
+	// MaxConnections bounds the connections that one of its backend servers accepts.
+	MaxConnections int
+	// IsKeyed says that each key belongs to one backend server.
+	IsKeyed bool
 }
 
-// Revision counts the accepted changes of the operators' configuration.
-type Revision uint64
+// Limits bounds what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is the operators' configuration.
+type Config struct {
+	Version  Version
+	Classes  []Class
+	Services map[Service]ServiceSettings
+	Limits   Limits
+}
 
-// Find returns the class with the given name.
-func (s Set) Find(name Name) (Class, bool) {
-	for _, c := range s.Classes {
-		if c.Name == name {
-			return c, true
+// Of returns the classes that may go to a service.
+func (c *Config) Of(service Service) []Class {
+	var found []Class
+	for _, candidate := range c.Classes {
+		for _, d := range candidate.Destinations {
+			if d.Service == service {
+				found = append(found, candidate)
+				break
+			}
 		}
 	}
-	return Class{}, false
+	return found
 }
--- a/cmd/check.go
+++ b/cmd/check.go
@@ -13,8 +13,7 @@
 // checkCommand checks files without starting anything.
 type checkCommand struct {
 	format
-	Classes bool `long:"classes" description:"the files are operators' configurations, not daemons' settings"`
-	Args    struct {
+	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes" required:"yes"`
 
@@ -23,7 +22,7 @@
 
 func addCheck(parent *flags.Command, s streams) error {
 	_, err := parent.AddCommand("check", "check files without starting",
-		"Reports everything that is wrong with settings or configuration files, with file, line and field.",
+		"Reports everything that is wrong with settings files, with file, line and field.",
 		&checkCommand{streams: s})
 	return err
 }
@@ -57,11 +56,7 @@
 	if err != nil {
 		return nil, &settings.FileError{Path: file, Cause: err}
 	}
-	if c.Classes {
-		_, err = settings.ParseClasses(file, text)
-	} else {
-		_, err = settings.Parse(file, text)
-	}
+	_, err = settings.Parse(file, text)
 	var problems *settings.ProblemsError
 	if errors.As(err, &problems) {
 		return problems.Problems, nil
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,12 +22,8 @@
 	ExitUsage = 2
 	// ExitInvalid is for files with problems.
 	ExitInvalid = 3
-	// ExitConflict is for an operator who lost a race.
-	ExitConflict = 4
 	// ExitUnreachable is for a daemon that does not answer.
 	ExitUnreachable = 5
-	// ExitOpen is for a change of which it is not known whether it was accepted.
-	ExitOpen = 6
 )
 
 // streams is where commands write.
@@ -56,11 +52,8 @@
 	return []registrar{
 		addRun,
 		addCheck,
-		addConfig,
 		addStatus,
 		addTimeline,
-		addDrain,
-		addAbandon,
 		addVersion,
 	}
 }
@@ -71,7 +64,7 @@
 	parser := flags.NewNamedParser("skylarkrelay", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "router for servers that own keys exclusively"
 	parser.LongDescription = "One small process beside each backend server, and the command line of its operators.\n" +
-		"Exit codes: 0 done, 1 failed, 2 usage, 3 invalid file, 4 conflict, 5 daemon unreachable, 6 outcome open."
+		"Exit codes: 0 done, 1 failed, 2 usage, 3 invalid file, 5 daemon unreachable."
 	for _, add := range commands() {
 		if err := add(parser.Command, s); err != nil {
 			fmt.Fprintln(errOut, err)
@@ -99,21 +92,14 @@
 func exitCode(err error) int {
 	var usage *flags.Error
 	var problems *settings.ProblemsError
-	var conflict *operator.ConflictError
 	var unreachable *operator.UnreachableError
-	var open *operator.OpenError
-	var refused *operator.RefusedError
 	switch {
 	case errors.As(err, &usage):
 		return ExitUsage
 	case errors.As(err, &problems):
 		return ExitInvalid
-	case errors.As(err, &conflict):
-		return ExitConflict
 	case errors.As(err, &unreachable):
 		return ExitUnreachable
-	case errors.As(err, &open), errors.As(err, &refused) && refused.Kind == "open":
-		return ExitOpen
 	default:
 		return ExitFailed
 	}
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -13,48 +14,62 @@
 	"github.com/skylarkrelay/skylarkrelay/settings"
 )
 
-// stopSignals is how many signals to stop are told apart: the first is graceful, the second is not.
-const stopSignals = 2
+const (
+	// stopSignals is how many signals to stop are told apart: the first is graceful, the second is not.
+	stopSignals = 2
+	// garbagePercent is how much the heap may grow between collections: twice the usual, since it is small.
+	garbagePercent = 200
+)
 
 // runCommand runs the daemon.
 type runCommand struct {
-	Args struct {
-		Settings string `positional-arg-name:"SETTINGS" description:"TOML file of this daemon"`
-	} `positional-args:"yes" required:"yes"`
+	Settings string `long:"settings" env:"SKYLARKRELAY_SETTINGS" required:"yes" value-name:"FILE" description:"TOML file of this daemon"`
 
 	streams streams
 }
 
 func addRun(parent *flags.Command, s streams) error {
 	_, err := parent.AddCommand("run", "run the daemon", "Runs the daemon until SIGTERM or SIGINT. "+
-		"The first signal hands the keys over and lets running calls end; a second one stops at once.", &runCommand{streams: s})
+		"The first signal hands the keys over and lets running calls end; a second one stops at once. "+
+		"SIGHUP reads the settings again.", &runCommand{streams: s})
 	return err
 }
 
 // Execute implements flags.Commander.
 func (c *runCommand) Execute([]string) error {
-	s, err := settings.Load(c.Args.Settings)
+	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(garbagePercent)
+	out := newLogWriter(c.streams.out)
+	defer out.Close()
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       string(s.Host),
 		Level:      hclog.LevelFromString(s.Log.Level),
 		JSONFormat: s.Log.Format == "json",
-		Output:     c.streams.err,
+		Output:     out,
 	})
-	signals := make(chan os.Signal, stopSignals)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	stop := make(chan struct{})
-	done := make(chan struct{})
+	stops := make(chan os.Signal, stopSignals)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(stops)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	stop, reload, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	defer close(done)
-	go forward(signals, stop, done)
-	return daemon.New(s, log, clockwork.NewRealClock()).Run(stop)
+	go forward(stops, stop, done)
+	go forward(reloads, reload, done)
+	d := daemon.New(s, daemon.Options{
+		Log:    log,
+		Clock:  clockwork.NewRealClock(),
+		Reload: func() (settings.Settings, error) { return settings.Load(c.Settings) },
+	})
+	return d.Run(stop, reload)
 }
 
 // forward passes signals on until the daemon has ended.
-func forward(signals <-chan os.Signal, stop chan<- struct{}, done <-chan struct{}) {
+func forward(signals <-chan os.Signal, to chan<- struct{}, done <-chan struct{}) {
 	for {
 		select {
 		case <-signals:
@@ -62,7 +77,7 @@
 			return
 		}
 		select {
-		case stop <- struct{}{}:
+		case to <- struct{}{}:
 		case <-done:
 			return
 		}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -18,8 +18,8 @@
 }
 
 func addStatus(parent *flags.Command, s streams) error {
-	_, err := parent.AddCommand("status", "show the members and their slots",
-		"Shows the asked daemon and all members that it knows of.", &statusCommand{streams: s})
+	_, err := parent.AddCommand("status", "show the hosts and their keys",
+		"Shows the asked daemon and all hosts that it knows of.", &statusCommand{streams: s})
 	return err
 }
 
@@ -37,17 +37,16 @@
 
 func (c *statusCommand) print(s operator.Status) error {
 	out := tabwriter.NewWriter(c.streams.out, 0, 8, 2, ' ', 0)
-	fmt.Fprintf(out, "member\t%s\n", s.Member)
+	fmt.Fprintf(out, "host\t%s\n", s.Host)
 	fmt.Fprintf(out, "service\t%s\n", s.Service)
-	fmt.Fprintf(out, "ready\t%t\n", s.IsReady)
-	fmt.Fprintf(out, "generation\t%d\n", s.Generation)
-	fmt.Fprintf(out, "lease\t%d ms\n", s.LeaseMS)
-	fmt.Fprintf(out, "witnesses\t%v\n", s.Witnesses)
-	fmt.Fprintf(out, "configuration\trevision %d\n", s.Config)
+	fmt.Fprintf(out, "backend server\t%s, %s\n", s.Server, s.Instance)
+	fmt.Fprintf(out, "epoch\t%d, authority for %d ms\n", s.Epoch, s.AuthorityMS)
+	fmt.Fprintf(out, "keys\t%d, generation %d\n", s.Keys, s.Generation)
+	fmt.Fprintf(out, "configuration\tversion %d\n", s.Config)
 	fmt.Fprintf(out, "calls\t%d running, %d waiting, limit %d\n\n", s.Calls.Running, s.Calls.Waiting, s.Calls.Limit)
-	fmt.Fprintln(out, "MEMBER\tSERVICE\tFAILURE DOMAIN\tSTATE\tSLOTS")
-	for _, m := range s.Members {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\n", m.Member, m.Service, m.FailureDomain, m.State, m.Slots)
+	fmt.Fprintln(out, "HOST\tSERVICE\tFAILURE DOMAIN\tUSABLE\tKEYS")
+	for _, h := range s.Hosts {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%t\t%d\n", h.Host, h.Service, h.FailureDomain, h.IsUsable, h.Keys)
 	}
 	return out.Flush()
 }
--- a/cmd/timeline.go
+++ b/cmd/timeline.go
@@ -82,8 +82,8 @@
 		return nil, err
 	}
 	addresses := append([]string{c.Daemon}, c.Also...)
-	for _, m := range status.Members {
-		addresses = append(addresses, m.Operator)
+	for _, h := range status.Hosts {
+		addresses = append(addresses, h.Operator)
 	}
 	slices.Sort(addresses)
 	return slices.Compact(addresses), nil
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -1,91 +1,104 @@
-// Package daemon puts the parts of a skylarkrelay process together.
 package daemon
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
-	"github.com/rcrowley/go-metrics"
 
-	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
-	"github.com/skylarkrelay/skylarkrelay/gossip"
-	"github.com/skylarkrelay/skylarkrelay/operator"
+	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/peer"
 	"github.com/skylarkrelay/skylarkrelay/platform"
-	"github.com/skylarkrelay/skylarkrelay/settings"
-	"github.com/skylarkrelay/skylarkrelay/timeline"
+	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
 const (
-	// cellPrefix is where the platform keeps the cells' records, by service.
-	cellPrefix = "cells/"
 	// tickInterval is how often the control goroutine looks at the time.
-	tickInterval = 20 * time.Millisecond
+	tickInterval = 25 * time.Millisecond
 	// inboxLength bounds the work that waits for the control goroutine.
-	inboxLength = 4096
+	inboxLength = 1024
 )
 
 // control owns all control state. Its methods run on one goroutine, unless their comment says otherwise.
 type control struct {
-	settings settings.Settings
-	clock    clockwork.Clock
+	daemon   *Daemon
 	log      hclog.Logger
-	ring     *timeline.Ring
-	registry metrics.Registry
-	store    platform.Store
-	pool     *peer.Pool
-	board    *gossip.Board
-	runner   *backend.Runner
-	gate     *admission.Gate
-	table    *caller.Table
-	entry    *caller.Entry
-	relay    *caller.Relay
+	observer *observer
+	clock    clockwork.Clock
+	boot     BootClock
 	random   *rand.Rand
-	ctx      context.Context
-
-	inbox   chan func(now time.Time)
-	self    ownership.Ref
-	machine *ownership.Machine
-	witness *ownership.Witness
-	records map[class.Service]ownership.Versioned
-	// addresses holds the control address of each known host.
-	addresses map[ownership.HostID]string
-	config    operator.Change
-	server    server
-	lease     leaseState
-	loadMeter loadMeter
-	moves     []quiescing
-	// heardAt is when the last message of another daemon came.
-	heardAt   time.Time
+	layout   ownership.Layout
+	self     ownership.HostID
+	service  class.Service
+
+	store  store.Store
+	board  *membership.Board
+	pool   *peer.Pool
+	table  *caller.Table
+	relay  *caller.Relay
+	budget *caller.Budget
+	runner *backend.Runner
+
+	inbox chan func(now ownership.Instant)
+	ctx   context.Context
+	calls sync.WaitGroup
+
+	registrar *membership.Registrar
+	machine   *ownership.Machine
+	epoch     ownership.Epoch
+	server    serverState
+	spread    spreadState
+	records   map[class.Service]*ownership.Record
+	config    *class.Config
+	loads     loadMeter
+	permitted permitState
+	// isDirty says that routes have to be computed again.
+	isDirty   bool
 	isLeaving bool
-	left      chan struct{}
-}
-
-// quiescing is a set of slots whose running work is being waited for.
-type quiescing struct {
-	token uint64
-	slots []class.Slot
 }
 
-// post hands work to the control goroutine. It may be called from any goroutine.
-func (c *control) post(work func(now time.Time)) {
-	select {
-	case c.inbox <- work:
-	case <-c.ctx.Done():
-	}
+func newControl(d *Daemon, o Options, table *caller.Table, relay *caller.Relay, budget *caller.Budget, seed uint64) *control {
+	layout := ownership.Layout{Prefix: platform.KeyPrefix}
+	random := rand.New(rand.NewPCG(seed, 3))
+	c := &control{
+		daemon:    d,
+		log:       o.Log,
+		observer:  d.observer,
+		clock:     o.Clock,
+		boot:      o.Boot,
+		random:    random,
+		layout:    layout,
+		self:      d.settings.Host,
+		service:   d.settings.Service,
+		board:     membership.NewBoard(),
+		table:     table,
+		relay:     relay,
+		budget:    budget,
+		runner:    d.runner,
+		inbox:     make(chan func(ownership.Instant), inboxLength),
+		registrar: membership.NewRegistrar(d.presence(), layout, membership.DefaultTiming()),
+		machine: ownership.NewMachine(o.Boot.Now(), d.settings.Host, d.settings.Service, layout, d.ownershipTiming(),
+			random),
+		records: map[class.Service]*ownership.Record{},
+		loads:   newLoadMeter(o.Clock.Now()),
+	}
+	c.spread = newSpreadState(o.Boot.Now())
+	c.server = newServerState(d.settings, o.Boot.Now())
+	c.store = d.newStore(c.peerControls)
+	return c
 }
 
 // run is the control goroutine.
 func (c *control) run(ctx context.Context) error {
+	c.ctx = ctx
+	c.pool = peer.NewPool(ctx, c.daemon.settings.Control(), c.daemon.registry)
 	ticker := c.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -93,221 +106,121 @@
 		case <-ctx.Done():
 			return nil
 		case work := <-c.inbox:
-			work(c.clock.Now())
+			work(c.boot.Now())
 		case <-ticker.Chan():
-			c.tick(c.clock.Now())
-		case <-c.runner.IdleSignal():
-			c.reportIdle(c.clock.Now())
+			c.tick(c.boot.Now())
 		}
 	}
 }
 
-// tick does what time asks for.
-func (c *control) tick(now time.Time) {
-	if c.witness == nil {
-		return
-	}
-	c.carryOut(now, c.witness.Tick(now), "")
-	c.checkServer(now)
-	if c.machine != nil {
-		c.carryOut(now, c.machine.Tick(now), "")
-		c.measureLoad(now)
+// wait returns when everything that the control goroutine started has ended.
+func (c *control) wait() {
+	c.calls.Wait()
+	if c.pool != nil {
+		c.pool.Wait()
 	}
-	c.publish(now)
-	c.reportIdle(now)
 }
 
-// begin starts the roles of this daemon once the store was read: its incarnation must be above all earlier ones.
-func (c *control) begin(now time.Time) {
-	incarnation := ownership.Incarnation(now.UnixMilli())
-	for _, v := range c.records {
-		for _, m := range v.Record.Members {
-			if m.Host == c.settings.Host {
-				incarnation = max(incarnation, m.Incarnation+1)
-			}
-		}
-	}
-	c.self = ownership.Ref{Host: c.settings.Host, Incarnation: incarnation}
-	c.witness = ownership.NewWitness(c.self, c.settings.Ownership.Vouch)
-	for _, v := range c.records {
-		c.witness.Learn(now, v.Record)
-	}
-	c.log.Info("started", "member", c.self.String())
-	c.event(timeline.Process, "started", c.self.String())
-	c.entry.Open()
-	c.joinIfAnnounced(now)
-}
-
-// carryOut does what the state machine wants. Answers go to replyTo where it is given: the asker may not be
-// in a known record yet.
-func (c *control) carryOut(now time.Time, effects []ownership.Effect, replyTo string) {
-	for _, e := range effects {
-		switch effect := e.(type) {
-		case ownership.Send:
-			c.send(effect.To, effect.Message, replyTo)
-		case ownership.Notify:
-			c.notifyCell(effect.Notice)
-		case ownership.Read:
-			go c.readRecord()
-		case ownership.Write:
-			go c.writeRecord(effect)
-		case ownership.Adopted:
-			c.adopted(now, effect.Known)
-		case ownership.Quiesce:
-			c.moves = append(c.moves, quiescing{token: effect.Token, slots: effect.Slots})
-		case ownership.Event:
-			c.ownershipEvent(effect)
-		}
-	}
-}
-
-func (c *control) send(to ownership.Ref, message ownership.Message, replyTo string) {
-	if to.Host == c.self.Host {
-		c.inboxLocal(message)
-		return
-	}
-	address := replyTo
-	if known, ok := c.addresses[to.Host]; ok {
-		address = known
-	}
-	if address != "" {
-		c.pool.Message(address, c.config.Revision, c.ring.Now(), message)
-	}
-}
-
-// inboxLocal delivers a message between two roles of this daemon, in a later turn.
-func (c *control) inboxLocal(message ownership.Message) {
-	work := func(now time.Time) { c.deliver(now, message, "") }
+// post hands work to the control goroutine. It may be called from any goroutine.
+func (c *control) post(ctx context.Context, work func(now ownership.Instant)) {
 	select {
 	case c.inbox <- work:
-	default: // the inbox is full: the message is lost, as on a network
+	case <-ctx.Done():
 	}
 }
 
-// deliver hands a message to the role that it is for.
-func (c *control) deliver(now time.Time, message ownership.Message, replyTo string) {
-	if c.witness == nil {
-		return
-	}
-	switch m := message.(type) {
-	case ownership.VouchRequest:
-		c.carryOut(now, c.witness.Vouch(now, m), replyTo)
-	case ownership.SealRequest:
-		c.carryOut(now, c.witness.Seal(now, m), replyTo)
-	default:
-		if c.machine != nil {
-			c.carryOut(now, c.machine.Deliver(now, message), replyTo)
-			c.publish(now)
+// async makes a call on a goroutine of its own, and hands its result back to the control goroutine.
+func (c *control) async(call func(ctx context.Context) func(now ownership.Instant)) {
+	ctx := c.ctx
+	c.calls.Go(func() {
+		if done := call(ctx); done != nil {
+			c.post(ctx, done)
 		}
-	}
+	})
 }
 
-func (c *control) notifyCell(notice ownership.SilenceNotice) {
-	v, known := c.records[notice.Service]
-	if !known {
-		return
-	}
-	for _, m := range v.Record.Members {
-		if m.Ref != notice.Member {
-			c.send(m.Ref, notice, "")
-		}
-	}
+// tick does what time asks for.
+func (c *control) tick(now ownership.Instant) {
+	c.registration(now, c.registrar.Tick(now))
+	c.checkServer(now)
+	c.measureLoad(now)
+	c.ownership(now, c.machine.Tick(now))
+	c.spreadTick(now)
+	c.settle(now)
 }
 
-// readRecord reads the cell's record. It runs on its own goroutine.
-func (c *control) readRecord() {
-	service := c.service()
-	entry, err := c.store.Get(c.ctx, cellPrefix+string(service))
-	if err != nil {
-		c.post(func(now time.Time) { c.readDone(now, ownership.Versioned{}, false) })
-		return
+// settle brings traffic up to date with what control knows.
+func (c *control) settle(now ownership.Instant) {
+	if c.isDirty {
+		c.isDirty = false
+		c.updateRoutes(now)
 	}
-	if entry.Revision == 0 {
-		c.post(func(now time.Time) { c.readDone(now, ownership.Versioned{}, true) })
-		return
-	}
-	record, err := ownership.Decode(entry.Data)
-	if err != nil {
-		c.refused("cell record", err)
-		c.post(func(now time.Time) { c.readDone(now, ownership.Versioned{}, false) })
-		return
-	}
-	v := ownership.Versioned{Record: record, Revision: ownership.Revision(entry.Revision)}
-	c.post(func(now time.Time) { c.readDone(now, v, true) })
-}
-
-func (c *control) readDone(now time.Time, v ownership.Versioned, ok bool) {
-	c.carryOut(now, c.machine.ReadDone(now, v, ok), "")
-	c.publish(now)
+	c.updatePermit(now)
 }
 
-// service returns the service of the backend server. It is fixed once the machine exists.
-func (c *control) service() class.Service { return c.server.announced.Service }
-
-// writeRecord writes the cell's record. It runs on its own goroutine.
-func (c *control) writeRecord(w ownership.Write) {
-	key := cellPrefix + string(w.Record.Service)
-	revision, err := c.store.Swap(c.ctx, key, platform.Revision(w.Base), w.Record.Encode())
-	fate := ownership.WriteLanded
-	var conflict *platform.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-		fate = ownership.WriteRefused
-	case err != nil:
-		fate = ownership.WriteLost
-		c.log.Debug("record not written", "error", err)
-	}
-	c.post(func(now time.Time) {
-		c.carryOut(now, c.machine.WriteDone(now, w, fate, ownership.Revision(revision)), "")
-		c.publish(now)
-	})
-}
-
-// adopted spreads a record that the machine knows to be newer.
-func (c *control) adopted(now time.Time, v ownership.Versioned) {
-	entry := platform.Entry{
-		Key:      cellPrefix + string(v.Record.Service),
-		Data:     v.Record.Encode(),
-		Revision: platform.Revision(v.Revision),
-	}
-	if c.board.Offer(entry) {
-		c.learned(now, entry, v.Record)
-		for _, m := range v.Record.Members {
-			if m.Host != c.self.Host {
-				c.pool.Push(m.Peer, entry) // the new owners of slots are told at once
-			}
+// registration does what the registrar wants.
+func (c *control) registration(now ownership.Instant, effects []membership.Effect) {
+	for _, e := range effects {
+		switch effect := e.(type) {
+		case membership.ReadEpoch:
+			c.async(func(ctx context.Context) func(ownership.Instant) {
+				item, err := c.store.Get(ctx, effect.Key)
+				return func(now ownership.Instant) { c.registration(now, c.registrar.EpochRead(now, item, err)) }
+			})
+		case membership.GrantLease:
+			c.async(func(ctx context.Context) func(ownership.Instant) {
+				lease, err := c.store.Grant(ctx, membership.DefaultTiming().LeaseTTL)
+				return func(now ownership.Instant) { c.registration(now, c.registrar.Granted(now, lease, err)) }
+			})
+		case membership.Register:
+			c.async(func(ctx context.Context) func(ownership.Instant) {
+				revision, err := c.store.Commit(ctx, effect.Txn)
+				return func(now ownership.Instant) {
+					c.registration(now, c.registrar.RegisterDone(now, effect.SentAt, revision, err))
+				}
+			})
+		case membership.RenewLease:
+			c.async(func(ctx context.Context) func(ownership.Instant) {
+				err := c.store.Renew(ctx, effect.Lease)
+				return func(now ownership.Instant) {
+					c.registration(now, c.registrar.RenewDone(now, effect.SentAt, effect.Lease, err))
+				}
+			})
+		case membership.Registered:
+			c.registered(now, effect)
+		case membership.Renewed:
+			c.ownership(now, c.machine.Renewed(now, effect.SentAt))
+		case membership.Unregistered:
+			c.log.Warn("registration lost", "epoch", c.epoch, "reason", effect.Reason)
+			c.machine.Unregistered()
 		}
 	}
 }
 
-// ownershipEvent puts an event of the state machine on the time line and into the log.
-func (c *control) ownershipEvent(e ownership.Event) {
-	name := e.Kind.String()
-	c.log.Info(strings.ReplaceAll(name, "_", " "), "member", e.Member.String(), "detail", e.Detail)
-	c.event(timeline.Ownership, name, strings.TrimSpace(e.Member.String()+" "+e.Detail))
-	metrics.GetOrRegisterCounter("ownership."+name, c.registry).Inc(1)
-	if e.Kind == ownership.EventLeft && c.isLeaving {
-		c.hasLeft()
-	}
+// registered takes up a new registration.
+func (c *control) registered(now ownership.Instant, r membership.Registered) {
+	c.epoch = r.Epoch
+	c.log.Info("registered", "epoch", r.Epoch, "revision", r.Revision)
+	c.spread.count = 0
+	c.acceptOwnPresence(now, r)
+	c.ownership(now, c.machine.Registered(now, r.SentAt, r.Epoch, r.Revision))
+	c.announce(now)
 }
 
-// hasLeft tells the stopping process that nothing is owned any more.
-func (c *control) hasLeft() {
-	select {
-	case <-c.left:
-	default:
-		close(c.left)
+// ownership does what the machine wants.
+func (c *control) ownership(now ownership.Instant, effects []ownership.Effect) {
+	for _, e := range effects {
+		switch effect := e.(type) {
+		case ownership.ReadRecord:
+			c.readRecord()
+		case ownership.WriteRecord:
+			c.writeRecord(effect.Txn)
+		case ownership.EndLease:
+			c.endLease(effect.Host)
+		case ownership.Adopted:
+			c.adopted(now, effect)
+		case ownership.Event:
+			c.observer.ownershipEvent(c.service, effect)
+		}
 	}
 }
-
-// event puts something on the time line. It may be called from any goroutine.
-func (c *control) event(kind timeline.Kind, name, detail string) {
-	c.ring.Add(timeline.Event{Kind: kind, Name: name, Detail: detail})
-}
-
-// refused records input that was not understood. It may be called from any goroutine.
-func (c *control) refused(what string, err error) {
-	c.log.Warn("refused "+what, "error", err)
-	c.event(timeline.Refused, strings.ReplaceAll(what, " ", "_"), err.Error())
-	metrics.GetOrRegisterCounter("refused."+strings.ReplaceAll(what, " ", "_"), c.registry).Inc(1)
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,245 +1,202 @@
+// Package daemon puts the parts of a skylarkrelay process together.
 package daemon
 
 import (
 	"context"
 	"math/rand/v2"
-	"net"
-	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/oklog/run"
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/caller"
-	"github.com/skylarkrelay/skylarkrelay/class"
-	"github.com/skylarkrelay/skylarkrelay/gossip"
-	"github.com/skylarkrelay/skylarkrelay/operator"
+	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/peer"
 	"github.com/skylarkrelay/skylarkrelay/platform"
 	"github.com/skylarkrelay/skylarkrelay/settings"
+	"github.com/skylarkrelay/skylarkrelay/store"
 	"github.com/skylarkrelay/skylarkrelay/timeline"
 )
 
-const (
-	// firstPlaces is how many calls run at a time until the server has announced itself.
-	firstPlaces = 1
-	// linger is how long a daemon that has left still answers: calls are on their way to it, and callers learn to
-	// use another one.
-	linger = time.Second
-	// readHeaderTimeout bounds how long a caller may take to send its headers.
-	readHeaderTimeout = 10 * time.Second
-)
+// defaultPlaces is how many calls a backend server is given at a time before its first heartbeat.
+const defaultPlaces = 4
+
+// Options are what a daemon needs besides its settings.
+type Options struct {
+	Log   hclog.Logger
+	Clock clockwork.Clock
+	Boot  BootClock
+	// Reload returns the settings again after they have changed.
+	Reload func() (settings.Settings, error)
+}
 
-// Daemon is one skylarkrelay process.
+// Daemon is one process of the relay.
 type Daemon struct {
 	settings settings.Settings
 	log      hclog.Logger
 	clock    clockwork.Clock
+	observer *observer
+	registry metrics.Registry
+	ring     *timeline.Ring
 	control  *control
 	entry    *caller.Entry
-	hop      *http.Server
-	cancel   context.CancelFunc
-	ctx      context.Context
+	runner   *backend.Runner
+	hops     *peer.HopClient
+	limits   *limitedServer
+	options  Options
+	stopping atomic.Bool
 }
 
-// ListenError reports an address that cannot be listened on.
-type ListenError struct {
-	Field string
-	Cause error
-}
-
-func (e *ListenError) Error() string { return e.Field + ": " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
-// New puts a daemon together. Nothing listens before Run.
-func New(s settings.Settings, log hclog.Logger, clock clockwork.Clock) *Daemon {
-	ctx, cancel := context.WithCancel(context.Background())
-	registry := metrics.NewRegistry()
-	ring := timeline.NewRing(string(s.Host), s.Timeline.Events, clock)
-	gate := admission.NewGate(admission.NewTargets(firstPlaces), firstPlaces, clock)
-	runner := backend.NewRunner(string(s.Host), s.Ownership.Slots, gate, clock)
-	table := caller.NewTable()
-	hop := peer.NewHopClient(s.Limits.BodyBytes, clock)
-	seed := rand.Uint64()
-	sender := &sender{host: s.Host, runner: runner, hop: hop}
-	relay := caller.NewRelay(s.FailureDomain, table, sender, clock, seed)
-	entry := caller.NewEntry(relay, s.Ownership.Slots, s.Limits.BodyBytes, registry, ring, clock)
-	control := &control{
-		settings:  s,
-		clock:     clock,
-		log:       log,
-		ring:      ring,
-		registry:  registry,
-		store:     platform.NewClient(s.Platform.Address, s.Platform.Timeout),
-		pool:      peer.NewPool(ctx, s.Peer.Advertise, registry),
-		board:     gossip.NewBoard(),
-		runner:    runner,
-		gate:      gate,
-		table:     table,
-		entry:     entry,
-		relay:     relay,
-		random:    rand.New(rand.NewPCG(seed, 3)),
-		ctx:       ctx,
-		inbox:     make(chan func(time.Time), inboxLength),
-		records:   map[class.Service]ownership.Versioned{},
-		addresses: map[ownership.HostID]string{},
-		left:      make(chan struct{}),
+// New puts a daemon together.
+func New(s settings.Settings, o Options) *Daemon {
+	if o.Boot == nil {
+		o.Boot = systemBootClock{}
 	}
-	classes := func() peer.Classes { return entry.Classes() }
-	report := func(err error) { control.refused("forwarded call", err) }
-	handler := peer.HopHandler(runner, classes, s.Limits.BodyBytes, clock, report)
-	return &Daemon{
+	d := &Daemon{
 		settings: s,
-		log:      log,
-		clock:    clock,
-		control:  control,
-		entry:    entry,
-		hop:      peer.NewHopServer(handler),
-		ctx:      ctx,
-		cancel:   cancel,
+		log:      o.Log,
+		clock:    o.Clock,
+		registry: metrics.NewRegistry(),
+		options:  o,
+		ring:     timeline.NewRing(string(s.Host), s.Timeline.Events, o.Clock),
 	}
+	d.observer = newObserver(o.Log, d.registry, d.ring, o.Clock, s.Log.LinesPerSecond)
+	seed := rand.Uint64()
+	gate := admission.NewGate(admission.NewTargets(defaultPlaces), defaultPlaces, o.Clock)
+	d.runner = backend.NewRunner(gate, o.Clock)
+	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock)
+	table := caller.NewTable()
+	budget := caller.NewBudget(caller.BudgetLimits{
+		Ratio:   s.Retries.Share,
+		Slack:   s.Retries.Slack,
+		Window:  s.Retries.Window,
+		Daemons: 1,
+	}, o.Clock)
+	relay := caller.NewRelay(s.FailureDomain, table, sender{self: s.Host, runner: d.runner, hops: d.hops}, budget,
+		d.observer.attempt, o.Clock, seed)
+	d.entry = caller.NewEntry(relay, s.Service, platform.Headers(), d.observer.finished, o.Clock)
+	d.limits = newLimitedServer(d.entry, d.observer.httpErrors("caller"))
+	d.control = newControl(d, o, table, relay, budget, seed)
+	return d
 }
 
-// sender gives a call to the runner of this daemon, or to another daemon.
+// sender brings calls to the server beside this daemon without a hop.
 type sender struct {
-	host   ownership.HostID
+	self   ownership.HostID
 	runner *backend.Runner
-	hop    *peer.HopClient
+	hops   *peer.HopClient
 }
 
 // Send implements caller.Sender.
-func (s *sender) Send(ctx context.Context, to *ownership.Member, c call.Call) call.Answer {
-	if to.Host == s.host {
-		return s.runner.Run(ctx, c)
+func (s sender) Send(ctx context.Context, to *caller.Server, c call.Call) call.Answer {
+	if to.Host == s.self {
+		a := s.runner.Run(ctx, c)
+		a.Host = string(s.self)
+		return a
 	}
-	return s.hop.Send(ctx, to.Hop, c)
+	return s.hops.Send(ctx, to.Hop, c)
 }
 
-// listeners are the addresses of a daemon. All are opened before anything runs, so that no half of it starts.
-type listeners struct {
-	caller, hop, peer, backend, operator net.Listener
-}
+// part is one thing that runs as long as the daemon does.
+type part func(ctx context.Context, group *run.Group) error
 
-func (d *Daemon) listen() (listeners, error) {
-	var l listeners
-	var opened []net.Listener
-	targets := []struct {
-		field   string
-		address string
-		into    *net.Listener
-	}{
-		{"caller.listen", d.settings.Caller.Listen, &l.caller},
-		{"hop.listen", d.settings.Hop.Listen, &l.hop},
-		{"peer.listen", d.settings.Peer.Listen, &l.peer},
-		{"backend.listen", d.settings.Backend.Listen, &l.backend},
-		{"operator.listen", d.settings.Operator.Listen, &l.operator},
-	}
-	for _, t := range targets {
-		listener, err := net.Listen("tcp", t.address)
-		if err != nil {
-			for _, o := range opened {
-				_ = o.Close() // the first error is the one to report
-			}
-			return listeners{}, &ListenError{Field: t.field, Cause: err}
+// Run serves until it is told to stop. A second stop ends it at once; reload reads the settings again.
+func (d *Daemon) Run(stop, reload <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group run.Group
+	for _, add := range []part{
+		d.addControl,
+		d.addStore,
+		d.addGossip,
+		d.addHop,
+		d.addHeartbeats,
+		d.addReady,
+		d.addOperator,
+		d.addCallers,
+		d.addReload(reload),
+		d.addStop(stop),
+	} {
+		if err := add(ctx, &group); err != nil {
+			return err
 		}
-		opened = append(opened, listener)
-		*t.into = listener
 	}
-	return l, nil
+	d.log.Info("daemon started", "host", d.settings.Host, "service", d.settings.Service,
+		"failure_domain", d.settings.FailureDomain, "backend_server", d.settings.Backend.Address)
+	err := group.Run()
+	cancel()
+	d.control.wait()
+	d.log.Info("daemon stopped", "reason", reasonOf(err))
+	if _, isWanted := err.(*stoppedError); isWanted {
+		return nil
+	}
+	return err
 }
 
-// Run serves until the stop channel receives a value: the first stops gracefully, a second at once.
-func (d *Daemon) Run(stop <-chan struct{}) error {
-	defer d.cancel()
-	l, err := d.listen()
-	if err != nil {
-		return errors.Wrap(err, "start")
-	}
-	callers := &http.Server{
-		Handler:           d.entry,
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    int(d.settings.Limits.HeaderBytes),
+func reasonOf(err error) string {
+	if err == nil {
+		return "none"
 	}
-	backends := &http.Server{Handler: d.control.announceHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	operators := &http.Server{Handler: operator.Handler(d.control), ReadHeaderTimeout: readHeaderTimeout}
-	peers := peer.NewServer(l.peer, d.control, d.control.registry)
+	return err.Error()
+}
 
-	var group run.Group
-	d.addTask(&group, d.control.run)
-	d.addTask(&group, d.control.runStore)
-	d.addTask(&group, d.control.runRepair)
-	d.addTask(&group, peers.Serve)
-	addServer(&group, callers, l.caller)
-	addServer(&group, d.hop, l.hop)
-	addServer(&group, backends, l.backend)
-	addServer(&group, operators, l.operator)
-	group.Add(func() error { return d.awaitStop(stop, callers) }, func(error) { d.cancel() })
-	err = group.Run()
-	d.control.pool.Wait()
-	return err
+// loop adds something that runs until its context ends.
+func loop(ctx context.Context, group *run.Group, run func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return run(ctx) }, func(error) { cancel() })
 }
 
-// addTask adds a goroutine that ends with the daemon's context.
-func (d *Daemon) addTask(group *run.Group, task func(context.Context) error) {
-	group.Add(func() error { return task(d.ctx) }, func(error) { d.cancel() })
+func (d *Daemon) addControl(ctx context.Context, group *run.Group) error {
+	loop(ctx, group, d.control.run)
+	return nil
 }
 
-func addServer(group *run.Group, server *http.Server, listener net.Listener) {
-	serve := func() error {
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return &ListenError{Field: listener.Addr().String(), Cause: err}
-	}
-	done := make(chan struct{})
-	group.Add(func() error {
-		err := serve()
-		if err == nil {
-			<-done // a graceful stop closes the listener before the daemon ends
-		}
-		return err
-	}, func(error) {
-		close(done)
-		_ = server.Close() // what still runs was waited for
+func (d *Daemon) addStore(ctx context.Context, group *run.Group) error {
+	loop(ctx, group, d.control.runStore)
+	return nil
+}
+
+// newStore returns the client of the platform's store, and of the same store through other daemons.
+func (d *Daemon) newStore(peers func() []string) *fallbackStore {
+	client := platform.NewClient(d.settings.Platform.Address, platform.ClientOptions{
+		Timeout: d.settings.Platform.Timeout,
+		Skipped: func(key string, err error) { d.observer.refused("store item "+key, err) },
+		Called:  d.observer.storeCalled,
 	})
+	through := func(address string) store.Store { return peer.RelayedStore{Address: address} }
+	return newFallbackStore(client, through, peers, d.observer.dependency("store"), d.clock)
 }
 
-// awaitStop waits for the signal to stop, gives the slots away and lets running calls end.
-func (d *Daemon) awaitStop(stop <-chan struct{}, callers *http.Server) error {
-	select {
-	case <-stop:
-	case <-d.ctx.Done():
-		return nil
+// presence is what this host tells of itself in the store.
+func (d *Daemon) presence() membership.Presence {
+	return membership.Presence{
+		Host:     d.settings.Host,
+		Domain:   d.settings.FailureDomain,
+		Service:  d.settings.Service,
+		Hop:      d.settings.Hop(),
+		Control:  d.settings.Control(),
+		Operator: d.settings.Operator(),
 	}
-	d.log.Info("stopping")
-	ctx, cancel := clockwork.WithTimeout(d.ctx, d.clock, d.settings.Limits.DrainTime)
-	defer cancel()
-	go func() {
-		select {
-		case <-stop: // a second signal ends the wait
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	d.control.post(d.control.leave)
-	select {
-	case <-d.control.left:
-	case <-ctx.Done():
-	}
-	d.entry.Close()
-	d.control.sleep(ctx, linger)
-	_ = callers.Shutdown(ctx) // calls that outlast the drain time are cut off
-	_ = d.hop.Shutdown(ctx)   // likewise
-	d.log.Info("stopped")
-	return nil
+}
+
+// heartbeatGrace is how many heartbeats may be missed before a hold runs out.
+const heartbeatGrace = 3
+
+// ownershipTiming fits the protocol's times to the backend server's heartbeats.
+func (d *Daemon) ownershipTiming() ownership.Timing {
+	timing := ownership.DefaultTiming()
+	timing.Hold = min(heartbeatGrace*d.settings.Backend.HeartbeatInterval, d.settings.Backend.HoldMost, timing.Authority/2)
+	return timing
+}
+
+// instantTime turns an instant of the boot clock into the traffic's time.
+func instantTime(clock clockwork.Clock, now, at ownership.Instant) time.Time {
+	return clock.Now().Add(at.Sub(now))
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
-	"time"
 
+	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
@@ -14,103 +12,65 @@
 	"github.com/skylarkrelay/skylarkrelay/timeline"
 )
 
-// Status implements operator.Daemon. It may be called from any goroutine.
-func (c *control) Status(ctx context.Context) (operator.Status, error) {
+func (d *Daemon) addOperator(_ context.Context, group *run.Group) error {
+	handler := operator.Handler(d, func(err error) { d.observer.refused("operator", err) })
+	return d.serve(group, "operator", d.settings.Operator(), handler)
+}
+
+// Timeline implements operator.Daemon.
+func (d *Daemon) Timeline(after timeline.Stamp) []timeline.Event { return d.ring.Since(after) }
+
+// Metrics implements operator.Daemon.
+func (d *Daemon) Metrics() metrics.Registry { return d.registry }
+
+// Status implements operator.Daemon.
+func (d *Daemon) Status(ctx context.Context) (operator.Status, error) {
 	answer := make(chan operator.Status, 1)
-	c.post(func(now time.Time) { answer <- c.status(now) })
+	d.control.post(ctx, func(now ownership.Instant) { answer <- d.control.status(now) })
 	select {
-	case status := <-answer:
-		return status, nil
+	case s := <-answer:
+		return s, nil
 	case <-ctx.Done():
 		return operator.Status{}, ctx.Err()
 	}
 }
 
-func (c *control) status(now time.Time) operator.Status {
+func (c *control) status(now ownership.Instant) operator.Status {
 	s := operator.Status{
-		Member:        c.self.String(),
-		FailureDomain: string(c.settings.FailureDomain),
-		IsReady:       c.server.isReady,
-		Config:        c.config.Revision,
-		Calls:         c.gate.State(),
-		Witnesses:     []string{},
-		Members:       c.memberStatuses(),
-	}
-	if c.witness != nil {
-		s.VouchesFor = c.witness.Vouched(now)
+		Host:          string(c.self),
+		FailureDomain: string(c.daemon.settings.FailureDomain),
+		Service:       c.service,
+		Epoch:         uint64(c.epoch),
+		Server:        c.server.state.String(),
+		Instance:      c.server.beat.Instance.String(),
+		AuthorityMS:   c.machine.Authority().Sub(now).Milliseconds(),
+		Calls:         c.runner.State(),
 	}
-	if c.machine == nil {
-		return s
+	if c.config != nil {
+		s.Config = c.config.Version
 	}
-	s.Service = c.service()
-	known := c.machine.Known().Record
-	if known == nil {
-		return s
+	held := map[class.Service]map[ownership.HostID]int{}
+	for service, record := range c.records {
+		keys, _ := record.Held()
+		held[service] = map[ownership.HostID]int{}
+		for i, m := range record.Members {
+			held[service][m.Host] = keys[i]
+		}
 	}
-	s.Generation = uint64(known.Generation)
-	entry := known.Find(c.self)
-	if entry == nil {
-		return s
+	if record, _ := c.machine.Known(); record != nil {
+		s.Generation = uint64(record.Generation)
+		s.Keys = held[c.service][c.self]
 	}
-	s.IsMember = true
-	s.Slots = len(known.SlotsOf(c.self))
-	s.LeaseMS = max(0, c.machine.LeaseEnd(now).Sub(now).Milliseconds())
-	for _, witness := range entry.Witnesses {
-		s.Witnesses = append(s.Witnesses, witness.String())
+	for _, p := range c.presences() {
+		a, isFresh := c.announcementOf(now, p.Host)
+		s.Hosts = append(s.Hosts, operator.HostStatus{
+			Host:          string(p.Host),
+			Service:       p.Service,
+			FailureDomain: string(p.Domain),
+			IsUsable:      isFresh && a.IsUsable,
+			Keys:          held[p.Service][p.Host],
+			Operator:      p.Operator,
+		})
 	}
 	return s
 }
-
-func (c *control) memberStatuses() []operator.MemberStatus {
-	members := []operator.MemberStatus{}
-	for service, v := range c.records {
-		for _, m := range v.Record.Members {
-			members = append(members, operator.MemberStatus{
-				Member:        m.Ref.String(),
-				Service:       service,
-				FailureDomain: string(m.Domain),
-				State:         m.State.String(),
-				Slots:         len(v.Record.SlotsOf(m.Ref)),
-				Operator:      m.Operator,
-			})
-		}
-	}
-	slices.SortFunc(members, func(a, b operator.MemberStatus) int { return strings.Compare(a.Member, b.Member) })
-	return members
-}
-
-// Timeline implements operator.Daemon. It may be called from any goroutine.
-func (c *control) Timeline(after timeline.Stamp) []timeline.Event { return c.ring.Since(after) }
-
-// Drain implements operator.Daemon. It may be called from any goroutine.
-func (c *control) Drain() { c.post(c.leave) }
-
-// Abandon implements operator.Daemon. It may be called from any goroutine.
-func (c *control) Abandon(member ownership.Ref) {
-	c.post(func(now time.Time) {
-		c.event(timeline.Ownership, "abandoned", member.String())
-		if c.machine == nil {
-			return
-		}
-		c.carryOut(now, c.machine.Abandon(now, member), "")
-		c.publish(now)
-	})
-}
-
-// Apply implements operator.Daemon. It may be called from any goroutine.
-func (c *control) Apply(ctx context.Context, based class.Revision, author, text string) (operator.Change, error) {
-	accepted, err := operator.NewEditor(c.store, c.clock).Apply(ctx, based, author, text)
-	if err != nil {
-		return operator.Change{}, err
-	}
-	c.post(func(now time.Time) { c.accept(now, accepted.Entry) })
-	return accepted.Change, nil
-}
-
-// History implements operator.Daemon. It may be called from any goroutine.
-func (c *control) History(ctx context.Context) ([]operator.Change, error) {
-	return operator.NewEditor(c.store, c.clock).History(ctx)
-}
-
-// Metrics implements operator.Daemon.
-func (c *control) Metrics() metrics.Registry { return c.registry }
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -2,325 +2,274 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
-	"strconv"
+	"errors"
+	"net"
+	"syscall"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/backend"
-	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
-	"github.com/skylarkrelay/skylarkrelay/timeline"
+	"github.com/skylarkrelay/skylarkrelay/platform"
+	"github.com/skylarkrelay/skylarkrelay/settings"
 )
 
 const (
-	// announceTimeout is how long a server counts as there after its last announcement.
-	announceTimeout = 3 * time.Second
-	// grantRenewals is how often a grant is renewed in its own time.
-	grantRenewals = 4
-	// epochBits leaves room for the epochs of one incarnation below the next incarnation's.
-	epochBits = 20
-	// maxAnnouncement bounds an announcement, in bytes.
-	maxAnnouncement = 4 << 10
+	// silentAfter is how many heartbeat intervals without a heartbeat make a server silent.
+	silentAfter = 2.6
+	// probeInterval is how often the address of a server that may have ended is tried.
+	probeInterval = 250 * time.Millisecond
+	// probeTimeout bounds one try.
+	probeTimeout = 200 * time.Millisecond
+	// drainMargin is how long before the end of its drain time a leaving server gets its last new work, so that none
+	// is still on its way.
+	drainMargin = 300 * time.Millisecond
 )
 
-// server is what the control goroutine knows of the backend server beside it.
-type server struct {
-	announced   backend.Announcement
-	announcedAt time.Time
+// serverState is what the control goroutine knows of the backend server beside this daemon.
+type serverState struct {
+	address  string
+	interval time.Duration
+	drain    time.Duration
+
+	state ownership.ServerState
+	beat  ownership.Heartbeat
+	// hasLeft says that this life of it has deregistered.
+	hasLeft bool
+	beatAt  ownership.Instant
+	// usableUntil bounds new work after the notice to leave.
+	usableUntil ownership.Instant
+	slowUntil   ownership.Instant
+	probeAt     ownership.Instant
+	isProbing   bool
 	client      *backend.Client
-	// isReady says that the server takes orders.
-	isReady bool
-	// stamp is the server's newest stamp, and stampAt when it arrived here.
-	stamp   backend.Stamp
-	stampAt time.Time
-	// answeredAt is when the server last answered a grant.
-	answeredAt time.Time
-	// grantEnds is when the newest grant has surely run out at the server.
-	grantEnds time.Time
-	// isAsking says that a grant is on its way.
-	isAsking  bool
-	nextGrant time.Time
-	epoch     backend.Epoch
 }
 
-// leaseState is what was last published to traffic.
-type leaseState struct {
-	version uint64
-	epoch   backend.Epoch
-	isReady bool
-	isLive  bool
+func newServerState(s settings.Settings, now ownership.Instant) serverState {
+	return serverState{address: s.Backend.Address, interval: s.Backend.HeartbeatInterval, drain: s.Backend.DrainTime, beatAt: now}
 }
 
-// announceHandler takes the announcements of the backend server.
-func (c *control) announceHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+backend.AnnouncePath, func(w http.ResponseWriter, r *http.Request) {
-		var a backend.Announcement
-		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&a)
-		if err == nil {
-			err = a.Check()
-		}
-		if err != nil {
-			c.refused("announcement", err)
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		c.post(func(now time.Time) { c.announced(now, a) })
-	})
-	return mux
+// announcement returns what others should know.
+func (s *serverState) announcement(now ownership.Instant) membership.Announcement {
+	isReady := s.state == ownership.ServerReady
+	a := membership.Announcement{
+		Instance: s.beat.Instance,
+		IsUsable: isReady || s.state == ownership.ServerSilent,
+		IsReady:  isReady,
+		Places:   s.beat.Places,
+	}
+	if s.slowUntil > now {
+		a.WarmupMS = s.slowUntil.Sub(now).Milliseconds()
+	}
+	if isReady {
+		a.NextBeatMS = max(0, s.interval-now.Sub(s.beatAt)).Milliseconds()
+	}
+	return a
 }
 
-// announced takes in an announcement.
-func (c *control) announced(now time.Time, a backend.Announcement) {
-	s := &c.server
-	if c.machine != nil && a.Service != s.announced.Service {
-		c.refused("announcement", &backend.AnnouncementError{Field: "service", Reason: "cannot change while the daemon runs"})
-		return
-	}
-	s.announcedAt = now
-	if a == s.announced {
-		return
-	}
-	isFirst := s.client == nil
-	isSameServer := !isFirst && a.Address == s.announced.Address && a.Connections == s.announced.Connections
-	if isFirst || a.Slots != s.announced.Slots {
-		c.gate.SetPlaces(a.Slots)
-	}
-	s.announced = a
-	if !isSameServer {
-		s.client = backend.NewClient(a, c.settings.Limits.BodyBytes, c.clock)
-		c.runner.SetClient(s.client)
-	}
-	c.log.Info("backend server announced", "service", a.Service, "address", a.Address, "draining", a.Draining)
-	c.ring.Add(timeline.Event{Kind: timeline.Backend, Name: "announced", Service: string(a.Service), Detail: a.Address})
-	if !a.ChecksFences {
-		c.serverUp(now)
+// check refuses a heartbeat that is not the newest of the newest life.
+func (s *serverState) check(b ownership.Heartbeat) error {
+	stale := &ownership.StaleError{Got: b.Instance, Sequence: b.Sequence, Newest: s.beat.Instance, Last: s.beat.Sequence}
+	newest := s.beat.Instance
+	switch {
+	case newest == (ownership.Instance{}):
+		return nil
+	case b.Instance == newest && (b.Sequence <= s.beat.Sequence || s.hasLeft):
+		return stale
+	case b.Instance != newest && b.Instance.Born <= newest.Born:
+		return stale
+	default:
+		return nil
 	}
-	c.joinIfAnnounced(now)
-	c.updateState(now)
 }
 
-// joinIfAnnounced creates the machine once both the store was read and a server is there.
-func (c *control) joinIfAnnounced(now time.Time) {
-	if c.witness == nil || c.server.client == nil || c.machine != nil || c.isLeaving {
-		return
-	}
-	c.server.epoch = backend.Epoch(c.self.Incarnation) << epochBits
-	self := ownership.Member{
-		Ref:      c.self,
-		Peer:     c.settings.Peer.Advertise,
-		Hop:      c.settings.Hop.Advertise,
-		Operator: c.settings.Operator.Listen,
-		Domain:   c.settings.FailureDomain,
-	}
-	if !c.server.announced.ChecksFences {
-		self.Guard = c.settings.Backend.Guard
-	}
-	timing := ownership.DefaultTiming()
-	timing.Vouch = c.settings.Ownership.Vouch
-	timing.Renew = c.settings.Ownership.Renew
-	c.machine = ownership.NewMachine(self, c.service(), c.settings.Ownership.Slots, timing, c.random)
-	if v, known := c.records[c.service()]; known {
-		c.carryOut(now, c.machine.Learn(now, v), "")
-		c.learned(now, c.board.Get(cellPrefix+string(c.service())), v.Record)
-	}
-	c.updateState(now)
+// foreignError refuses what is not from the backend server beside this daemon.
+type foreignError struct{ address, service string }
+
+func (e *foreignError) Error() string {
+	return "heartbeat of a server at " + e.address + " of service " + e.service + " is not from this host's"
 }
 
-// updateState tells the machine what the server is fit for.
-func (c *control) updateState(now time.Time) {
-	if c.machine == nil || c.isLeaving {
-		return
-	}
-	state := ownership.Unready
-	if c.server.isReady && !c.server.announced.Draining {
-		state = ownership.Active
-	}
-	if state == ownership.Unready && !c.machine.IsMember() {
-		return // a daemon joins once its server can be used
+// heartbeats serves the calls of the backend server.
+type heartbeats struct{ control *control }
+
+// Heartbeat implements platform.BackendServer.
+func (h heartbeats) Heartbeat(ctx context.Context, beat ownership.Heartbeat) (ownership.Orders, error) {
+	type answer struct {
+		orders ownership.Orders
+		err    error
+	}
+	c := h.control
+	answers := make(chan answer, 1)
+	c.post(ctx, func(now ownership.Instant) {
+		if ctx.Err() != nil {
+			return // the server has given this heartbeat up: orders for it would be believed here and not there
+		}
+		orders, err := c.heartbeat(now, beat)
+		answers <- answer{orders: orders, err: err}
+	})
+	select {
+	case a := <-answers:
+		return a.orders, a.err
+	case <-ctx.Done():
+		return ownership.Orders{}, ctx.Err()
 	}
-	c.carryOut(now, c.machine.Join(now, state), "")
-	c.publish(now)
 }
 
-// checkServer renews the grant and notices a server that is gone.
-func (c *control) checkServer(now time.Time) {
-	s := &c.server
-	if s.client == nil || c.machine == nil {
-		return
-	}
-	if s.isReady && now.Sub(s.announcedAt) > announceTimeout {
-		c.serverDown(now, "no announcement")
-	}
-	if !s.announced.ChecksFences {
-		return
-	}
-	if s.isReady && now.Sub(s.answeredAt) > c.settings.Backend.Grant {
-		c.serverDown(now, "grants not answered")
-	}
-	if s.isAsking || now.Before(s.nextGrant) {
-		return
+// Deregister implements platform.BackendServer.
+func (h heartbeats) Deregister(ctx context.Context, id string, born int64) error {
+	done := make(chan struct{})
+	c := h.control
+	c.post(ctx, func(now ownership.Instant) {
+		c.deregister(now, id, born)
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	s.isAsking = true
-	s.nextGrant = now.Add(c.settings.Backend.Grant / grantRenewals)
-	go c.askGrant(s.client, c.nextGrantFor(now))
 }
 
-// nextGrantFor returns the grant to send. While this daemon owns slots it never outlasts the lease.
-func (c *control) nextGrantFor(now time.Time) backend.Grant {
+// Unreadable implements platform.BackendServer.
+func (h heartbeats) Unreadable(err error) { h.control.observer.refused("backend server", err) }
+
+// heartbeat takes in what the backend server says of itself.
+func (c *control) heartbeat(now ownership.Instant, beat ownership.Heartbeat) (ownership.Orders, error) {
 	s := &c.server
-	lasts := c.settings.Backend.Grant
-	if c.ownsSlots() {
-		lasts = min(lasts, c.machine.LeaseEnd(now).Sub(s.stampAt))
-	}
-	return backend.Grant{Epoch: s.epoch, Since: s.stamp, For: max(0, lasts)}
+	if beat.Address != s.address || beat.Service != c.service {
+		return ownership.Orders{}, &foreignError{address: beat.Address, service: string(beat.Service)}
+	}
+	if err := s.check(beat); err != nil {
+		return ownership.Orders{}, err
+	}
+	isNew := beat.Instance != s.beat.Instance
+	if isNew {
+		c.log.Info("backend server found", "instance", beat.Instance.String(), "places", beat.Places,
+			"warmup_ms", beat.WarmupLeft.Milliseconds(), "draining", beat.IsDraining)
+		s.hasLeft = false
+		s.usableUntil = 0
+		c.replaceClient(beat)
+	}
+	if beat.IsDraining && !(s.beat.IsDraining && !isNew) {
+		s.usableUntil = now.Add(s.drain - drainMargin)
+		c.log.Info("backend server drains", "instance", beat.Instance.String(), "usable_ms", (s.drain - drainMargin).Milliseconds())
+	}
+	s.beat = beat
+	s.beatAt = now
+	s.slowUntil = now.Add(beat.WarmupLeft)
+	state := ownership.ServerReady
+	if beat.IsDraining {
+		state = ownership.ServerDraining
+	}
+	c.setServer(now, state, "heartbeat")
+	orders := ownership.Orders{}
+	if c.isKeyed() {
+		var effects []ownership.Effect
+		orders, effects = c.machine.Heartbeat(now, beat)
+		c.ownership(now, effects)
+	}
+	c.settle(now)
+	return orders, nil
 }
 
-func (c *control) ownsSlots() bool {
-	known := c.machine.Known().Record
-	return known != nil && len(known.SlotsOf(c.self)) > 0
-}
+// isKeyed tells whether the keys of this host's service are divided over its servers.
+func (c *control) isKeyed() bool { return c.config != nil && c.config.Services[c.service].IsKeyed }
 
-// askGrant sends a grant. It runs on its own goroutine.
-func (c *control) askGrant(client *backend.Client, g backend.Grant) {
-	ctx, cancel := context.WithTimeout(c.ctx, c.settings.Backend.Grant/2)
-	defer cancel()
-	stamp, err := client.Grant(ctx, g)
-	c.post(func(now time.Time) { c.granted(now, g, stamp, err) })
+// replaceClient makes connections to a new life of the server.
+func (c *control) replaceClient(beat ownership.Heartbeat) {
+	if c.server.client != nil {
+		c.server.client.Close()
+	}
+	c.server.client = backend.NewClient(beat.Address, beat.Places, platform.Headers(),
+		c.observer.counter("backend.connections").inc, c.clock)
 }
 
-// granted takes in the server's answer to a grant.
-func (c *control) granted(now time.Time, g backend.Grant, stamp backend.Stamp, err error) {
+// setServer takes in what is believed of the server.
+func (c *control) setServer(now ownership.Instant, state ownership.ServerState, reason string) {
 	s := &c.server
-	s.isAsking = false
-	if err != nil {
-		c.log.Debug("grant not taken", "error", err)
+	if s.state == state {
 		return
 	}
-	isSameLife := g.Since.Life == stamp.Life
-	if isSameLife {
-		// The stamp was given before it arrived here, so the grant ends at the server no later than this. A grant
-		// that the lease cuts short says nothing against the server.
-		ends := s.stampAt.Add(g.For)
-		if ends.After(s.grantEnds) {
-			s.grantEnds = ends
-		}
-	} else {
-		s.nextGrant = now // the first answer only brings the stamp
-	}
-	s.stamp = stamp
-	s.stampAt = now
-	s.answeredAt = now
-	if isSameLife {
-		c.serverUp(now)
+	c.log.Info("backend server state", "from", s.state.String(), "to", state.String(), "reason", reason,
+		"heartbeat_age_ms", now.Sub(s.beatAt).Milliseconds(), "instance", s.beat.Instance.String())
+	s.state = state
+	c.isDirty = true
+	if c.isKeyed() {
+		c.ownership(now, c.machine.SetServer(now, c.machineState()))
 	}
+	c.announce(now)
 }
 
-// serverUp makes use of the server.
-func (c *control) serverUp(now time.Time) {
-	if c.server.isReady {
-		return
+// machineState is the server's state as the ownership sees it: a daemon that stops gives its keys away.
+func (c *control) machineState() ownership.ServerState {
+	if c.isLeaving && c.server.state == ownership.ServerReady {
+		return ownership.ServerDraining
 	}
-	c.server.isReady = true
-	c.event(timeline.Backend, "ready", string(c.server.announced.Service))
-	c.log.Info("backend server ready")
-	c.updateState(now)
+	return c.server.state
 }
 
-// serverDown stops the use of the server. Running calls are answered as unknown, and a later grant has a higher epoch.
-func (c *control) serverDown(now time.Time, reason string) {
+// deregister takes note that the server leaves without further heartbeats.
+func (c *control) deregister(now ownership.Instant, id string, born int64) {
 	s := &c.server
-	s.isReady = false
-	s.epoch++
-	c.event(timeline.Backend, "down", reason)
-	c.log.Warn("backend server down", "reason", reason)
-	if !s.announced.ChecksFences {
-		s.grantEnds = now.Add(c.settings.Backend.Guard)
-	}
-	c.publish(now)
-	c.runner.CutOff(true)
-	c.updateState(now)
-}
-
-// publish gives traffic the present lease.
-func (c *control) publish(now time.Time) {
-	if c.machine == nil {
-		return
-	}
-	until := c.machine.LeaseEnd(now)
-	isLive := now.Before(until)
-	if c.lease.isLive && !isLive && c.ownsSlots() {
-		c.server.epoch++
-		c.event(timeline.Ownership, "lease_lapsed", c.self.String())
-		c.runner.CutOff(false)
-	}
-	next := leaseState{
-		version: c.machine.Version(),
-		epoch:   c.server.epoch,
-		isReady: c.server.isReady,
-		isLive:  isLive,
-	}
-	if next == c.lease {
-		c.runner.Extend(until)
+	isOther := s.beat.Instance.ID != id || born != 0 && born != s.beat.Instance.Born
+	if isOther {
+		c.log.Warn("deregistration of another life ignored", "id", id, "born", born, "instance", s.beat.Instance.String())
 		return
 	}
-	c.lease = next
-	fences := c.machine.Fences()
-	lease := backend.Lease{
-		Until:   until,
-		Fences:  make([]backend.Fence, len(fences)),
-		Epoch:   next.epoch,
-		IsReady: next.isReady,
-	}
-	for slot, fence := range fences {
-		lease.Fences[slot] = backend.Fence(fence)
+	if !s.hasLeft && !s.beat.IsDraining {
+		s.usableUntil = now.Add(s.drain - drainMargin)
 	}
-	c.runner.SetLease(lease)
+	s.hasLeft = true
+	c.setServer(now, ownership.ServerDraining, "deregistered")
+	c.settle(now)
 }
 
-// reportIdle tells the machine which leaving slots have no running work left. After a server was lost, none is
-// idle before its grant has run out.
-func (c *control) reportIdle(now time.Time) {
-	if len(c.moves) == 0 || !c.server.isReady && now.Before(c.server.grantEnds) {
+// checkServer notices a server that has fallen silent or has ended.
+func (c *control) checkServer(now ownership.Instant) {
+	s := &c.server
+	if s.state == ownership.ServerUnknown || s.state == ownership.ServerEnded {
 		return
 	}
-	c.publish(now) // traffic must have stopped before a slot counts as idle
-	moves := c.moves
-	c.moves = nil
-	for _, move := range moves {
-		idle := c.runner.Idle(move.slots)
-		if rest := without(move.slots, idle); len(rest) > 0 {
-			c.moves = append(c.moves, quiescing{token: move.token, slots: rest})
-		}
-		c.carryOut(now, c.machine.Idle(now, move.token, idle), "")
+	age := now.Sub(s.beatAt)
+	if s.state == ownership.ServerReady && age > time.Duration(silentAfter*float64(s.interval)) {
+		c.setServer(now, ownership.ServerSilent, "no heartbeat")
+	}
+	mayHaveEnded := s.hasLeft || age > s.interval+s.interval/3
+	if mayHaveEnded && !s.isProbing && now >= s.probeAt {
+		c.probe(now)
 	}
-	c.publish(now)
 }
 
-// without returns the slots that are not in the sorted list of some of them.
-func without(slots, some []class.Slot) []class.Slot {
-	var rest []class.Slot
-	for _, slot := range slots {
-		if len(some) > 0 && some[0] == slot {
-			some = some[1:]
-			continue
+// suspectServer has the server's address tried at once: a call found nobody there.
+func (c *control) suspectServer() {
+	c.post(c.ctx, func(now ownership.Instant) {
+		if !c.server.isProbing && now >= c.server.probeAt {
+			c.probe(now)
 		}
-		rest = append(rest, slot)
-	}
-	return rest
+	})
 }
 
-// leave gives everything away. The channel left closes when this daemon is no longer a member.
-func (c *control) leave(now time.Time) {
-	c.isLeaving = true
-	c.event(timeline.Process, "draining", c.self.String())
-	if c.machine == nil || !c.machine.IsMember() {
-		c.hasLeft()
-		return
-	}
-	c.carryOut(now, c.machine.Drain(now), "")
-	c.publish(now)
+// probe tries to connect to the server. A refusal means that its process is gone.
+func (c *control) probe(now ownership.Instant) {
+	s := &c.server
+	s.isProbing = true
+	s.probeAt = now.Add(probeInterval)
+	instance := s.beat.Instance
+	c.async(func(ctx context.Context) func(ownership.Instant) {
+		dialer := net.Dialer{Timeout: probeTimeout}
+		conn, err := dialer.DialContext(ctx, "tcp", s.address)
+		if err == nil {
+			_ = conn.Close() // only the connection's making was of interest
+		}
+		return func(now ownership.Instant) {
+			s.isProbing = false
+			isGone := errors.Is(err, syscall.ECONNREFUSED)
+			if isGone && s.beat.Instance == instance {
+				c.setServer(now, ownership.ServerEnded, "connection refused")
+				c.settle(now)
+			}
+		}
+	})
 }
-
-func itoa[N ~uint64](n N) string { return strconv.FormatUint(uint64(n), 10) }
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -1,305 +1,441 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
+	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rcrowley/go-metrics"
 
-	"github.com/skylarkrelay/skylarkrelay/caller"
-	"github.com/skylarkrelay/skylarkrelay/class"
-	"github.com/skylarkrelay/skylarkrelay/gossip"
-	"github.com/skylarkrelay/skylarkrelay/operator"
+	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/peer"
 	"github.com/skylarkrelay/skylarkrelay/platform"
-	"github.com/skylarkrelay/skylarkrelay/timeline"
+	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
 const (
-	// fanout is how many random daemons are told of a newer value.
-	fanout = 4
-	// watchers is how many daemons watch the store.
-	watchers = 3
+	// smallMesh is up to how many peers are all told of news; among more, fanout random ones.
+	smallMesh = 16
+	fanout    = 5
+	// watchersPerDomain is how many daemons of each failure domain watch the store.
+	watchersPerDomain = 1
 	// repairInterval is how often a daemon compares what it knows with a random other one.
-	repairInterval = time.Second
-	// deafTime is how long a daemon may hear nothing from others before it fetches their news itself.
-	deafTime = 3 * time.Second
-	// storeRetry is the wait after a failed read of the store.
-	storeRetry = 200 * time.Millisecond
-	// watcherCheck is how often a daemon that does not watch looks whether it should.
-	watcherCheck = time.Second
+	repairInterval = 700 * time.Millisecond
+	// deafTime is how long a daemon may hear nothing from others before it watches the store itself.
+	deafTime = 1500 * time.Millisecond
+	// announceInterval is how often a daemon tells of its backend server where nothing changes.
+	announceInterval = 900 * time.Millisecond
+	// announceFresh is how long an announcement counts.
+	announceFresh = 4 * time.Second
+	// storeRetry and storeRetryMost bound the wait after a failed watch or read.
+	storeRetry     = 150 * time.Millisecond
+	storeRetryMost = time.Second
+	// announcePrefix begins the keys of announcements. They are not in the store.
+	announcePrefix = "announce/"
 )
 
-// accept takes in a value from the store or another daemon, if it is newer and can be read.
-func (c *control) accept(now time.Time, e platform.Entry) {
-	if e.Revision <= c.board.Get(e.Key).Revision {
+// spreadState is what the control goroutine knows of the spreading of news.
+type spreadState struct {
+	// heardAt is when the last message of another daemon came.
+	heardAt    ownership.Instant
+	repairAt   ownership.Instant
+	announceAt ownership.Instant
+	// count numbers the announcements under one epoch.
+	count uint32
+	// announcedAt is when each host's newest announcement came.
+	announcedAt map[ownership.HostID]ownership.Instant
+	// lastPresence keeps the presence of hosts that the store has lost and that are still heard of.
+	lastPresence map[ownership.HostID]membership.Presence
+}
+
+func newSpreadState(now ownership.Instant) spreadState {
+	return spreadState{
+		heardAt:      now,
+		announcedAt:  map[ownership.HostID]ownership.Instant{},
+		lastPresence: map[ownership.HostID]membership.Presence{},
+	}
+}
+
+// accept takes in an entry from the store or another daemon, if it is newer and can be read.
+func (c *control) accept(now ownership.Instant, e membership.Entry) {
+	if e.Version <= c.board.Get(e.Key).Version || !c.understands(e) {
 		return
 	}
-	switch {
-	case strings.HasPrefix(e.Key, cellPrefix):
-		record, err := ownership.Decode(e.Data)
-		if err != nil {
-			c.refused("cell record", err)
-			return
-		}
-		c.board.Offer(e)
-		c.learned(now, e, record)
-		if c.machine != nil && record.Service == c.service() {
-			v := ownership.Versioned{Record: record, Revision: ownership.Revision(e.Revision)}
-			c.carryOut(now, c.machine.Learn(now, v), "")
-		}
-		c.publish(now)
-	case e.Key == operator.ConfigKey:
-		c.acceptConfig(now, e)
+	if !c.board.Offer(e) {
+		return
 	}
+	c.apply(now, e)
+	c.tell(now, e)
 }
 
-// learned updates what follows from a newer record, and tells others.
-func (c *control) learned(now time.Time, e platform.Entry, record *ownership.Record) {
-	c.records[record.Service] = ownership.Versioned{Record: record, Revision: ownership.Revision(e.Revision)}
-	routes := caller.Routes{}
-	c.addresses = map[ownership.HostID]string{}
-	newest := map[ownership.HostID]ownership.PoolMember{}
-	for service, v := range c.records {
-		routes[service] = v.Record
-		for _, m := range v.Record.Members {
-			if m.Incarnation >= newest[m.Host].Ref.Incarnation {
-				c.addresses[m.Host] = m.Peer
-				newest[m.Host] = ownership.PoolMember{Ref: m.Ref, Domain: m.Domain}
-			}
-		}
+// understands tells whether an entry is one of this system's and can be read.
+func (c *control) understands(e membership.Entry) bool {
+	if e.IsDeleted {
+		return strings.HasPrefix(e.Key, c.layout.Prefix)
 	}
-	c.table.Set(routes)
-	c.relay.Update(routes)
-	if c.witness != nil {
-		c.witness.Learn(now, record)
+	var err error
+	switch {
+	case e.Key == platform.ConfigKey:
+		_, err = platform.DecodeConfig(e.Data)
+	case strings.HasPrefix(e.Key, c.layout.Record("")):
+		_, err = ownership.Decode(e.Data)
+	case strings.HasPrefix(e.Key, c.layout.Presence("")):
+		_, err = membership.DecodeEntry[membership.Presence](e)
+	case strings.HasPrefix(e.Key, announcePrefix):
+		_, err = membership.DecodeEntry[membership.Announcement](e)
+	default:
+		return false // epochs, and keys of others, concern no other daemon
 	}
-	c.advertise(e)
-	if c.machine == nil {
-		return
+	if err != nil {
+		c.observer.refused("entry "+e.Key, err)
 	}
-	var pool []ownership.PoolMember
-	for _, m := range newest {
-		pool = append(pool, m)
+	return err == nil
+}
+
+// apply does what follows from a newer entry.
+func (c *control) apply(now ownership.Instant, e membership.Entry) {
+	c.isDirty = true
+	switch {
+	case e.Key == platform.ConfigKey:
+		c.acceptConfig(e)
+	case strings.HasPrefix(e.Key, c.layout.Record("")):
+		c.acceptRecord(now, e)
+	case strings.HasPrefix(e.Key, announcePrefix):
+		host := ownership.HostID(strings.TrimPrefix(e.Key, announcePrefix))
+		c.spread.announcedAt[host] = now
+	case e.Key == c.layout.Presence(c.self):
+		c.acceptOwnEntry(now, e)
 	}
-	c.carryOut(now, c.machine.SetPool(now, pool), "")
 }
 
-// acceptConfig puts a newer configuration in force. Its revision never goes back.
-func (c *control) acceptConfig(now time.Time, e platform.Entry) {
-	value, err := operator.DecodeConfig(e.Data)
+// acceptConfig puts a newer configuration in force. Its version never goes back.
+func (c *control) acceptConfig(e membership.Entry) {
+	config, err := platform.DecodeConfig(e.Data)
 	if err != nil {
-		c.refused("configuration", err)
+		c.observer.refused("configuration", err)
 		return
 	}
-	change := value.Current()
-	if change.Revision <= c.config.Revision {
+	if c.config != nil && config.Version <= c.config.Version {
+		c.log.Warn("configuration ignored", "version", config.Version, "in_force", c.config.Version)
 		return
 	}
-	set, err := change.Classes()
+	c.config = config
+	c.daemon.entry.SetConfig(config)
+	c.daemon.limits.setLimits(config.Limits)
+	c.observer.configInForce(config.Version, uint64(e.Version))
+}
+
+func (c *control) acceptRecord(now ownership.Instant, e membership.Entry) {
+	if e.IsDeleted {
+		return
+	}
+	record, err := ownership.Decode(e.Data)
 	if err != nil {
-		c.refused("configuration", err)
+		c.observer.refused("record", err)
 		return
 	}
-	router, err := class.NewRouter(set.Classes)
+	c.records[record.Service] = record
+	if record.Service == c.service {
+		c.ownership(now, c.machine.Learn(now, record, store.Revision(e.Version)))
+	}
+}
+
+// acceptOwnEntry notices that the store has lost this host's presence.
+func (c *control) acceptOwnEntry(now ownership.Instant, e membership.Entry) {
+	if e.IsDeleted && !c.isLeaving {
+		c.registration(now, c.registrar.PresenceGone(now, store.Revision(e.Version)))
+	}
+}
+
+// acceptOwnPresence tells others of a new registration before a watch does.
+func (c *control) acceptOwnPresence(now ownership.Instant, r membership.Registered) {
+	data, err := json.Marshal(r.Presence)
 	if err != nil {
-		c.refused("configuration", err)
+		c.log.Error("presence not spread", "error", err)
 		return
 	}
-	c.board.Offer(e)
-	c.config = change
-	c.entry.SetClasses(&caller.Classes{Set: set, Router: router})
-	c.gate.SetClasses(set.Classes)
-	metrics.GetOrRegisterGauge("config.revision", c.registry).Update(int64(change.Revision))
-	c.log.Info("configuration in force", "revision", change.Revision, "author", change.Author)
-	c.ring.Add(timeline.Event{Kind: timeline.Configuration, Name: "in_force", Detail: "revision " + itoa(change.Revision)})
-	c.advertise(e)
+	c.accept(now, membership.Entry{
+		Key:     c.layout.Presence(c.self),
+		Version: membership.Version(r.Revision),
+		Data:    data,
+	})
 }
 
-// advertise tells some random daemons of a newer value. They pull it, tell others, and so on.
-func (c *control) advertise(e platform.Entry) {
-	for _, address := range c.randomPeers(fanout) {
-		c.pool.Advert(address, e.Key, e.Revision)
+// tell passes an entry on to other daemons.
+func (c *control) tell(_ ownership.Instant, e membership.Entry) {
+	for _, address := range c.somePeers(fanout) {
+		c.pool.Push(address, []membership.Entry{e})
 	}
 }
 
-// randomPeers returns the control addresses of some random other hosts.
-func (c *control) randomPeers(count int) []string {
-	hosts := make([]ownership.HostID, 0, len(c.addresses))
-	for host := range c.addresses {
-		if host != c.settings.Host {
-			hosts = append(hosts, host)
+// peerControls returns the control addresses of all other known hosts. It may be called from any goroutine.
+func (c *control) peerControls() []string {
+	var addresses []string
+	for _, e := range c.board.Under(c.layout.Presence("")) {
+		p, err := membership.DecodeEntry[membership.Presence](e)
+		if err == nil && p.Host != c.self {
+			addresses = append(addresses, p.Control)
 		}
 	}
-	slices.Sort(hosts)
-	c.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	addresses := make([]string, 0, count)
-	for _, host := range hosts[:min(count, len(hosts))] {
-		addresses = append(addresses, c.addresses[host])
+	if len(addresses) == 0 {
+		addresses = c.daemon.settings.SeedControls()
 	}
 	return addresses
 }
 
-// Message implements peer.Handler.
-func (c *control) Message(e peer.Envelope) {
-	if e.At != nil {
-		c.ring.Witness(*e.At)
-	}
-	c.post(func(now time.Time) {
-		c.heardAt = now
-		if e.Config > c.config.Revision {
-			go c.pull(e.From, operator.ConfigKey)
-			// A vouch counts only once this daemon has the configuration that its witness has.
-			if _, isVouch := e.Message.(ownership.VouchReply); isVouch {
-				return
-			}
+// somePeers returns the control addresses of all others in a small mesh, and of some random ones in a large one.
+func (c *control) somePeers(count int) []string {
+	addresses := c.peerControls()
+	if len(addresses) <= smallMesh && count > 1 {
+		return addresses
+	}
+	c.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(count, len(addresses))]
+}
+
+// spreadTick announces and repairs.
+func (c *control) spreadTick(now ownership.Instant) {
+	if now >= c.spread.announceAt {
+		c.announce(now)
+	}
+	if now >= c.spread.repairAt {
+		c.spread.repairAt = now.Add(repairInterval)
+		for _, address := range c.somePeers(1) {
+			c.pool.Digest(address, c.board.Digest())
 		}
-		c.deliver(now, e.Message, e.From)
-	})
+	}
+	for host, at := range c.spread.announcedAt {
+		if now.Sub(at) > announceFresh {
+			delete(c.spread.announcedAt, host)
+			c.isDirty = true
+			c.log.Info("host is silent", "peer", host, "age_ms", now.Sub(at).Milliseconds())
+		}
+	}
 }
 
-// Advert implements peer.Handler.
-func (c *control) Advert(a peer.Advert) {
-	if a.Revision > c.board.Get(a.Key).Revision {
-		go c.pull(a.From, a.Key)
+// announce tells others of the backend server beside this daemon.
+func (c *control) announce(now ownership.Instant) {
+	c.spread.announceAt = now.Add(announceInterval)
+	if c.epoch == 0 {
+		return
+	}
+	c.spread.count++
+	a := c.server.announcement(now)
+	a.Host, a.Service = c.self, c.service
+	a.Load = c.loads.load
+	a.IsLeaving = c.isLeaving
+	a.IsUsable = a.IsUsable && !c.isLeaving
+	a.IsReady = a.IsReady && !c.isLeaving
+	data, err := json.Marshal(a)
+	if err != nil {
+		c.log.Error("announcement not sent", "error", err)
+		return
 	}
+	c.accept(now, membership.Entry{
+		Key:     announcePrefix + string(c.self),
+		Version: membership.AnnouncementVersion(c.epoch, c.spread.count),
+		Data:    data,
+	})
 }
 
+// heard takes note of a sign of life of another daemon.
+func (c *control) heard(now ownership.Instant) { c.spread.heardAt = now }
+
+// gossip serves the messages of other daemons.
+type gossip struct{ control *control }
+
 // Push implements peer.Handler.
-func (c *control) Push(e platform.Entry) {
-	c.post(func(now time.Time) { c.accept(now, e) })
+func (g gossip) Push(_ string, entries []membership.Entry) {
+	c := g.control
+	c.post(c.ctx, func(now ownership.Instant) {
+		c.heard(now)
+		for _, e := range entries {
+			c.accept(now, e)
+		}
+		c.settle(now)
+	})
 }
 
 // Digest implements peer.Handler.
-func (c *control) Digest(d peer.DigestNote) {
-	if d.Digest != c.board.Digest() {
-		go c.repair(d.From)
-	}
+func (g gossip) Digest(d peer.Digest) {
+	c := g.control
+	isSame := d.Digest == c.board.Digest()
+	c.post(c.ctx, func(now ownership.Instant) {
+		c.heard(now)
+		if !isSame {
+			c.repair(d.From)
+		}
+	})
 }
 
-// Fetch implements peer.Handler.
-func (c *control) Fetch(key string) platform.Entry { return c.board.Get(key) }
+// Newer implements peer.Handler.
+func (g gossip) Newer(than membership.Versions) []membership.Entry {
+	return g.control.board.Newer(than)
+}
 
-// Versions implements peer.Handler.
-func (c *control) Versions() gossip.Versions { return c.board.Versions() }
+// Store implements peer.Handler.
+func (g gossip) Store(ctx context.Context, call peer.StoreCall) peer.StoreAnswer {
+	g.control.observer.counter("store.calls_for_peers").inc()
+	direct := g.control.store.(*fallbackStore).direct
+	return peer.MakeStoreCall(ctx, direct, call)
+}
 
 // Broken implements peer.Handler.
-func (c *control) Broken(err error) { c.refused("control message", err) }
+func (g gossip) Broken(err error) { g.control.observer.refused("message", err) }
 
-// pull fetches one value from a peer. It runs on its own goroutine.
-func (c *control) pull(from, key string) {
-	e, err := c.pool.Fetch(c.ctx, from, key)
-	if err != nil {
-		c.log.Debug("value not fetched", "key", key, "from", from, "error", err)
-		return
+// repair fetches all that a peer knows better.
+func (c *control) repair(from string) {
+	versions := c.board.Versions()
+	c.async(func(ctx context.Context) func(ownership.Instant) {
+		entries, err := peer.Newer(ctx, from, versions)
+		if err != nil {
+			c.log.Debug("peer not asked", "peer", from, "error", err)
+			return nil
+		}
+		return func(now ownership.Instant) {
+			for _, e := range entries {
+				c.accept(now, e)
+			}
+			c.settle(now)
+		}
+	})
+}
+
+// runStore reads what the store has, and watches it while this daemon is one of the watchers. It runs on its own
+// goroutine.
+func (c *control) runStore(ctx context.Context) error {
+	pause := storeRetry
+	for ctx.Err() == nil {
+		revision, err := c.readAll(ctx)
+		if err == nil {
+			pause = storeRetry
+			err = c.watch(ctx, revision)
+		}
+		if err != nil && ctx.Err() == nil {
+			c.log.Debug("store not read", "error", err)
+			c.sleep(ctx, pause)
+			pause = min(2*pause, storeRetryMost)
+		}
 	}
-	c.post(func(now time.Time) { c.accept(now, e) })
+	return nil
 }
 
-// repair fetches all values that a peer knows newer. It runs on its own goroutine.
-func (c *control) repair(from string) {
-	versions, err := c.pool.Versions(c.ctx, from)
+// readAll reads the configuration and all values of this system.
+func (c *control) readAll(ctx context.Context) (store.Revision, error) {
+	own, err := c.store.List(ctx, c.layout.Prefix)
 	if err != nil {
-		return
+		return 0, err
 	}
-	for _, key := range c.board.Behind(versions) {
-		c.pull(from, key)
+	config, err := c.store.Get(ctx, platform.ConfigKey)
+	if err != nil {
+		return 0, err
 	}
+	c.post(ctx, func(now ownership.Instant) {
+		c.acceptAll(now, append(own.Items, config))
+		c.forget(now, own)
+		c.settle(now)
+	})
+	return own.Revision, nil
 }
 
-// runRepair compares digests with random daemons until the context ends.
-func (c *control) runRepair(ctx context.Context) error {
-	ticker := c.clock.NewTicker(repairInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			c.post(func(now time.Time) {
-				for _, address := range c.randomPeers(1) {
-					c.pool.Digest(address, c.board.Digest())
-					if now.Sub(c.heardAt) > deafTime {
-						go c.repair(address) // others may not be able to reach this daemon
-					}
-				}
-			})
-		}
+func (c *control) acceptAll(now ownership.Instant, items []store.Item) {
+	for _, item := range items {
+		c.accept(now, membership.Entry{
+			Key:       item.Key,
+			Version:   membership.Version(item.Revision),
+			Data:      item.Value,
+			IsDeleted: item.IsDeleted,
+		})
 	}
 }
 
-// runStore reads everything at the start, and watches the store while this daemon is one of the watchers.
-func (c *control) runStore(ctx context.Context) error {
-	revision, ok := c.readAll(ctx)
-	if !ok {
-		return nil
+// forget marks the values that a whole read did not find as gone.
+func (c *control) forget(now ownership.Instant, read store.Snapshot) {
+	found := map[string]bool{}
+	for _, item := range read.Items {
+		found[item.Key] = true
+	}
+	for _, e := range c.board.Under(c.layout.Prefix) {
+		isOlder := e.Version < membership.Version(read.Revision)
+		if !found[e.Key] && isOlder {
+			c.accept(now, membership.Entry{Key: e.Key, Version: membership.Version(read.Revision), IsDeleted: true})
+		}
 	}
-	c.post(c.begin)
+}
+
+// watch follows the changes while this daemon is a watcher. It returns an error when it lost track.
+func (c *control) watch(ctx context.Context, revision store.Revision) error {
 	for ctx.Err() == nil {
-		if !c.isWatcher(ctx) {
-			c.sleep(ctx, watcherCheck)
+		if !c.shouldWatch(ctx) {
+			c.sleep(ctx, storeRetryMost)
+			if c.shouldWatch(ctx) {
+				return nil // reads afresh: the history since may be long
+			}
 			continue
 		}
 		changes, err := c.store.Watch(ctx, "", revision)
+		var compacted *store.CompactedError
+		if errors.As(err, &compacted) {
+			c.log.Warn("store forgot its history", "after", compacted.After)
+			return nil
+		}
 		if err != nil {
-			c.sleep(ctx, storeRetry)
-			continue
+			return err
 		}
-		revision = changes.Revision
-		c.acceptAll(changes.Entries)
+		revision = max(revision, changes.Revision)
+		c.post(ctx, func(now ownership.Instant) {
+			c.acceptAll(now, changes.Items)
+			c.settle(now)
+		})
 	}
 	return nil
 }
 
-// readAll reads all values of the store, as often as it takes.
-func (c *control) readAll(ctx context.Context) (platform.Revision, bool) {
-	for ctx.Err() == nil {
-		changes, err := c.store.List(ctx, "")
-		if err == nil {
-			c.acceptAll(changes.Entries)
-			return changes.Revision, true
-		}
-		c.log.Info("waiting for the platform", "error", err)
-		c.sleep(ctx, storeRetry)
+// shouldWatch tells whether this daemon watches the store: it is one of the first of its failure domain, or hears
+// nothing from others.
+func (c *control) shouldWatch(ctx context.Context) bool {
+	answer := make(chan bool, 1)
+	c.post(ctx, func(now ownership.Instant) { answer <- c.isWatcher(now) })
+	select {
+	case is := <-answer:
+		return is
+	case <-ctx.Done():
+		return false
 	}
-	return 0, false
 }
 
-func (c *control) acceptAll(entries []platform.Entry) {
-	for _, e := range entries {
-		c.post(func(now time.Time) { c.accept(now, e) })
+func (c *control) isWatcher(now ownership.Instant) bool {
+	if now.Sub(c.spread.heardAt) > deafTime || c.config == nil {
+		return true
 	}
+	var ranks []uint64
+	own := xxhash.Sum64String(string(c.self))
+	for _, p := range c.presences() {
+		isAlive := p.Host == c.self || now.Sub(c.spread.announcedAt[p.Host]) < deafTime
+		if p.Domain == c.daemon.settings.FailureDomain && isAlive {
+			ranks = append(ranks, xxhash.Sum64String(string(p.Host)))
+		}
+	}
+	slices.Sort(ranks)
+	return slices.Index(ranks, own) < watchersPerDomain
 }
 
-// isWatcher tells whether this daemon is one of the few that watch the store: the ones whose hashed names are
-// lowest, or any that no record names yet.
-func (c *control) isWatcher(ctx context.Context) bool {
-	answer := make(chan bool, 1)
-	c.post(func(time.Time) {
-		if _, known := c.addresses[c.settings.Host]; !known {
-			answer <- true
-			return
-		}
-		own := xxhash.Sum64String(string(c.settings.Host))
-		lower := 0
-		for host := range c.addresses {
-			if cmp.Compare(xxhash.Sum64String(string(host)), own) < 0 {
-				lower++
-			}
+// presences returns the hosts that are registered, as far as is known.
+func (c *control) presences() []membership.Presence {
+	var found []membership.Presence
+	for _, e := range c.board.Under(c.layout.Presence("")) {
+		p, err := membership.DecodeEntry[membership.Presence](e)
+		if err != nil {
+			c.observer.refused("presence", err)
+			continue
 		}
-		answer <- lower < watchers
-	})
-	select {
-	case is := <-answer:
-		return is
-	case <-ctx.Done():
-		return false
+		found = append(found, p)
 	}
+	return found
 }
 
 func (c *control) sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/keyspace/keyspace_test.go
@@ -0,0 +1,65 @@
+package keyspace_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
+)
+
+func ExampleMap() {
+	var owners keyspace.Map[string]
+	owners.Set(keyspace.All(), "a")
+	owners.Set(keyspace.Span{From: 100, To: 199}, "b")
+	for span, owner := range owners.Runs() {
+		fmt.Println(span.From, span.To, owner)
+	}
+	// Output:
+	// 0 99 a
+	// 100 199 b
+	// 200 65535 a
+}
+
+// TestMapAgreesWithAnArray sets random spans in a map and in a plain array.
+func TestMapAgreesWithAnArray(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		var m keyspace.Map[int]
+		plain := make([]int, class.KeyCount)
+		edges := rapid.SampledFrom([]int{0, 1, 2, 3, 5, 8, 100, 101, 65533, 65534, 65535})
+		for range rapid.IntRange(1, 30).Draw(t, "sets") {
+			a, b := edges.Draw(t, "from"), edges.Draw(t, "to")
+			span := keyspace.Span{From: class.Key(min(a, b)), To: class.Key(max(a, b))}
+			value := rapid.IntRange(0, 3).Draw(t, "value")
+			m.Set(span, value)
+			for key := int(span.From); key <= int(span.To); key++ {
+				plain[key] = value
+			}
+		}
+		next, before := 0, -1
+		for span, value := range m.Runs() {
+			g.Expect(int(span.From)).To(gomega.Equal(next), "runs follow each other")
+			g.Expect(value).NotTo(gomega.Equal(before), "neighbours differ")
+			g.Expect(plain[span.From]).To(gomega.Equal(value))
+			g.Expect(plain[span.To]).To(gomega.Equal(value))
+			g.Expect(m.At(span.From)).To(gomega.Equal(value))
+			g.Expect(m.At(span.To)).To(gomega.Equal(value))
+			next, before = int(span.To)+1, value
+		}
+		g.Expect(next).To(gomega.Equal(class.KeyCount))
+		a, b := edges.Draw(t, "within from"), edges.Draw(t, "within to")
+		within := keyspace.Span{From: class.Key(min(a, b)), To: class.Key(max(a, b))}
+		next = int(within.From)
+		for span, value := range m.Within(within) {
+			g.Expect(int(span.From)).To(gomega.Equal(next))
+			g.Expect(plain[span.From]).To(gomega.Equal(value))
+			g.Expect(plain[span.To]).To(gomega.Equal(value))
+			next = int(span.To) + 1
+		}
+		g.Expect(next).To(gomega.Equal(int(within.To) + 1))
+	})
+}
--- a/ownership/eventkind_string.go
+++ b/ownership/eventkind_string.go
@@ -8,19 +8,20 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[EventJoined-0]
-	_ = x[EventLeft-1]
-	_ = x[EventRemoved-2]
+	_ = x[EventDealt-0]
+	_ = x[EventMoved-1]
+	_ = x[EventRaised-2]
 	_ = x[EventSuspected-3]
 	_ = x[EventTookOver-4]
-	_ = x[EventMoved-5]
-	_ = x[EventWitnesses-6]
-	_ = x[EventSealed-7]
+	_ = x[EventLeaving-5]
+	_ = x[EventKept-6]
+	_ = x[EventRefused-7]
+	_ = x[EventUndecided-8]
 }
 
-const _EventKind_name = "joinedleftremovedsuspectedtook_overmovedwitnesses_changedsealed"
+const _EventKind_name = "keys_dealtkeys_movedfences_raisedtakeover_beguntakeover_donekeys_leavingmove_given_upwrite_refusedwrite_undecided"
 
-var _EventKind_index = [...]uint8{0, 6, 10, 17, 26, 35, 40, 57, 63}
+var _EventKind_index = [...]uint8{0, 10, 20, 33, 47, 60, 72, 85, 98, 113}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/ownership/grants.go
@@ -0,0 +1,130 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/placement"
+)
+
+// leastHold is the shortest hold worth granting: less would run out before the next heartbeat.
+const leastHold = 200 * time.Millisecond
+
+// Heartbeat takes in a heartbeat of the backend server's newest life, and returns what it is to hold.
+func (m *Machine) Heartbeat(now Instant, beat Heartbeat) (Orders, []Effect) {
+	if beat.Instance != m.instance {
+		m.newLife(beat.Instance)
+	}
+	m.takeHolds(now, beat)
+	effects := m.step(now)
+	return m.orders(now), effects
+}
+
+// newLife forgets what an earlier life of the backend server held: that ended with it.
+func (m *Machine) newLife(instance Instance) {
+	if m.instance != (Instance{}) {
+		m.held.Clear()
+	}
+	m.instance = instance
+	m.handovers.Clear()
+	m.stopServing()
+}
+
+// takeHolds makes the heartbeat's own account of what it holds the known one. Heartbeats follow each other, so nothing
+// that an earlier answer granted is missing from it.
+func (m *Machine) takeHolds(now Instant, beat Heartbeat) {
+	before := m.held
+	m.held = keyspace.Map[held]{}
+	unknown := now.Add(stretch(m.timing.Hold))
+	for _, hold := range beat.Holds {
+		for span, h := range before.Within(hold.Span) {
+			until := h.until
+			if until == 0 {
+				until = unknown
+			}
+			m.held.Set(span, held{until: until, fence: hold.Fence})
+		}
+	}
+	for _, release := range beat.Released {
+		m.handovers.Set(release.Span, release.Handover)
+	}
+}
+
+// orders returns what the backend server is to hold now.
+func (m *Machine) orders(now Instant) Orders {
+	hold := min(m.timing.Hold, time.Duration(float64(m.authority.Sub(now))/clockMargin))
+	if !m.mayAct(now) || m.known == nil || hold < leastHold {
+		return Orders{}
+	}
+	self := m.known.Find(m.self)
+	if self == Nobody || m.known.Members[self].Instance != m.instance {
+		return Orders{}
+	}
+	grants := m.grants(self)
+	until := now.Add(stretch(hold))
+	m.served.Clear()
+	for _, g := range grants {
+		for span, h := range m.held.Within(g.Span) {
+			m.held.Set(span, held{until: max(h.until, until), fence: max(h.fence, g.Fence)})
+		}
+		m.handovers.Set(g.Span, "")
+		m.served.Set(g.Span, true)
+	}
+	m.servedUntil = now.Add(hold)
+	m.version++
+	return Orders{Hold: hold, Grants: grants}
+}
+
+// grants returns the rows for the keys of this host that stay.
+func (m *Machine) grants(self int) []Grant {
+	var grants []Grant
+	for span, a := range m.known.Keys.Runs() {
+		if a.Owner != self {
+			continue
+		}
+		for part, to := range m.leaving.Within(span) {
+			if to != "" {
+				continue
+			}
+			handover := a.Handover
+			if m.held.At(part.From).fence >= a.Fence {
+				handover = "" // it holds them already
+			}
+			grants = append(grants, Grant{Span: part, Fence: a.Fence, Handover: handover})
+		}
+	}
+	if len(grants) <= placement.MaxRows {
+		return grants
+	}
+	return merge(grants)[:min(len(merge(grants)), placement.MaxRows)]
+}
+
+// merge joins neighbouring rows under the higher fence. It is below that of any later owner.
+func merge(grants []Grant) []Grant {
+	merged := grants[:0:0]
+	for _, g := range grants {
+		if len(merged) > 0 {
+			last := &merged[len(merged)-1]
+			if int(last.Span.To)+1 == int(g.Span.From) && last.Handover == "" && g.Handover == "" {
+				last.Span.To = g.Span.To
+				last.Fence = max(last.Fence, g.Fence)
+				continue
+			}
+		}
+		merged = append(merged, g)
+	}
+	return merged
+}
+
+// isFree tells whether the backend server surely holds none of some keys.
+func (m *Machine) isFree(now Instant, span keyspace.Span) bool {
+	if now < m.unknownUntil {
+		return false
+	}
+	for _, h := range m.held.Within(span) {
+		if h.until > now {
+			return false
+		}
+	}
+	return true
+}
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -1,292 +1,363 @@
 package ownership
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
-// Timing holds the times of the protocol.
-type Timing struct {
-	// Vouch is how long a witness vouches, from receipt of the request.
-	Vouch time.Duration
-	// Renew is the interval between requests to vouch.
-	Renew time.Duration
-	// Settle is how long membership must have been quiet before slots are levelled and witnesses added.
-	Settle time.Duration
-	// Retry is the first pause before a store call is repeated.
-	Retry time.Duration
-	// Batch is how long the idle slots of a move wait for the ones still busy.
-	Batch time.Duration
-	// Stagger keeps the members of a cell from moving slots at the same time: all but one write would be refused,
-	// and the slots would wait.
-	Stagger time.Duration
-	// Spread is by how much a writer that lost a race waits, for each race lost in a row.
-	Spread time.Duration
-}
+//go:generate go tool stringer -type=ServerState -linecomment
 
-// DefaultTiming returns the times for a mesh with a few milliseconds between hosts.
-func DefaultTiming() Timing {
-	return Timing{
-		Vouch:  time.Second,
-		Renew:  400 * time.Millisecond,
-		Settle: 300 * time.Millisecond,
-		Retry:  50 * time.Millisecond,
-		Batch:  10 * time.Millisecond,
-		// Two round trips to the store and the spreading of the record.
-		Stagger: 15 * time.Millisecond,
-		Spread:  4 * time.Millisecond,
-	}
-}
+// ServerState is what a daemon believes of the backend server beside it.
+type ServerState int
 
 const (
-	// holderShare is the part of a vouch that its holder uses. With takerFactor it covers clocks that
-	// run up to 5% fast or slow: 0.9/0.95 is below 1/1.05.
-	holderShare = 0.9
-	// takerFactor stretches a witness's remaining time on the taker's clock.
-	takerFactor = 1.12
-	// spreadMost bounds the growth of the wait after lost races.
-	spreadMost = 8
+	// ServerUnknown means that nothing was heard of it yet.
+	ServerUnknown ServerState = iota // unknown
+	// ServerReady means that it can be used.
+	ServerReady // ready
+	// ServerDraining means that it has said that it leaves.
+	ServerDraining // draining
+	// ServerSilent means that its heartbeats stopped. It may go on holding keys until its holds run out.
+	ServerSilent // silent
+	// ServerEnded means that its process is gone, and all that it held with it.
+	ServerEnded // ended
 )
 
-// sentVouch remembers when a request was sent: its answer counts from there.
-type sentVouch struct {
-	witness Ref
-	at      time.Time
+// Peer is another host of the service, or this one, as the membership knows it.
+type Peer struct {
+	Host HostID
+	// IsPresent says that the host is registered in the store.
+	IsPresent bool
+	// IsEligible says that its backend server can take keys.
+	IsEligible bool
+	Instance   Instance
+	// Places is how many requests its backend server runs at a time.
+	Places int
+	// Load is how many of them are busy on average.
+	Load float64
 }
 
-// leavingSlot is a slot that this member has stopped serving in order to give it away.
-type leavingSlot struct {
-	token  uint64
-	idle   bool
-	idleAt time.Time
+// held is what a backend server may hold of a key.
+type held struct {
+	until Instant
+	fence Fence
 }
 
-// Machine is one daemon's part in the ownership of its cell. It is not safe for concurrent use: one control
+// Machine is one daemon's part in the ownership of its service's keys. It is not safe for concurrent use: one control
 // goroutine feeds it.
 type Machine struct {
-	self    Member
+	self    HostID
 	service class.Service
-	slots   int
+	layout  Layout
 	timing  Timing
 	random  *rand.Rand
 
-	known      Versioned
-	hasRead    bool
-	hasUnowned bool
+	// isRegistered, epoch and epochRevision are this host's registration, and authority is until when it may act.
+	isRegistered  bool
+	epoch         Epoch
+	epochRevision store.Revision
+	authority     Instant
+	renewedAt     Instant
+	// storeSince is since when the store has answered without a break.
+	storeSince Instant
+
+	known    *Record
+	revision store.Revision
+	// isFresh says that the record was read since the registration.
+	isFresh   bool
+	isReading bool
+	readAfter Instant
+
+	state    ServerState
+	instance Instance
+	// held is what the backend server may hold. Before unknownUntil it may hold more, granted by an earlier daemon.
+	held         keyspace.Map[held]
+	unknownUntil Instant
+	handovers    keyspace.Map[Handover]
+	// leaving names, for each key that is no longer granted, the host that shall have it.
+	leaving      keyspace.Map[HostID]
+	leavingSince Instant
+	isLeaving    bool
+	freeSince    Instant
+
+	served      keyspace.Map[bool]
+	servedUntil Instant
+	version     uint64
+
 	pending    *pendingWrite
+	writeAfter Instant
+	conflicts  int
 
-	reading     bool
-	wantRead    bool
-	readRetryAt time.Time
-	readFails   int
-	conflicts   int
-	writeAfter  time.Time
-
-	sequence  uint64
-	sent      map[uint64]sentVouch
-	held      map[Ref]time.Time
-	sealedAt  Generation
-	nextRenew time.Time
-	// leasedAt is when this member last had a lease, or began to claim one.
-	leasedAt time.Time
-	probed   map[Ref]time.Time
-	// removals counts how often this daemon was taken over; it joins again after a pause.
-	removals    int
-	rejoinAfter time.Time
-
-	wanted    bool
-	state     MemberState
-	changedAt time.Time
-
-	witnesses witnessChoice
-	leaving   map[class.Slot]*leavingSlot
-	token     uint64
-	wish      wish
-	loads     loads
-	suspects  map[Ref]*suspicion
-	abandoned map[Ref]bool
-
-	version uint64
+	peers       []Peer
+	membersAt   Instant
+	absentSince map[HostID]Instant
+	takeovers   map[HostID]*takeover
+
+	loads   map[class.Key]float64
+	levelAt Instant
 }
 
-// NewMachine returns the machine of a daemon that is not a member yet.
-func NewMachine(self Member, service class.Service, slots int, timing Timing, random *rand.Rand) *Machine {
-	abandoned := map[Ref]bool{}
+// NewMachine returns the machine of a daemon that has just started.
+func NewMachine(now Instant, self HostID, service class.Service, layout Layout, timing Timing, random *rand.Rand) *Machine {
 	return &Machine{
-		self:      self,
-		service:   service,
-		slots:     slots,
-		timing:    timing,
-		random:    random,
-		wantRead:  true,
-		sent:      map[uint64]sentVouch{},
-		held:      map[Ref]time.Time{},
-		probed:    map[Ref]time.Time{},
-		witnesses: newWitnessChoice(abandoned),
-		leaving:   map[class.Slot]*leavingSlot{},
-		suspects:  map[Ref]*suspicion{},
-		abandoned: abandoned,
+		self:         self,
+		service:      service,
+		layout:       layout,
+		timing:       timing,
+		random:       random,
+		storeSince:   now,
+		renewedAt:    now,
+		unknownUntil: now.Add(stretch(timing.Hold)),
+		membersAt:    now,
+		absentSince:  map[HostID]Instant{},
+		takeovers:    map[HostID]*takeover{},
 	}
 }
 
-// Known returns the newest record that this daemon has seen.
-func (m *Machine) Known() Versioned { return m.known }
-
-// Self returns this daemon's ref.
-func (m *Machine) Self() Ref { return m.self.Ref }
+// Known returns the newest known record, or nil, and its revision.
+func (m *Machine) Known() (*Record, store.Revision) { return m.known, m.revision }
 
-// IsMember tells whether the newest known record names this daemon.
-func (m *Machine) IsMember() bool { return m.entry() != nil }
+// Authority returns until when this host may act on the record.
+func (m *Machine) Authority() Instant { return m.authority }
 
-// Join makes this daemon want to be a member in the given state.
-func (m *Machine) Join(now time.Time, state MemberState) []Effect {
-	m.wanted = true
-	m.state = state
+// Registered tells the machine of a new registration, sent at a time.
+func (m *Machine) Registered(now, sentAt Instant, epoch Epoch, revision store.Revision) []Effect {
+	m.isRegistered = true
+	m.epoch = epoch
+	m.epochRevision = revision
+	m.isFresh = false
+	m.readAfter = now
+	m.extend(now, sentAt)
+	if m.pending != nil {
+		// The epoch has risen: whatever was sent under the old one can no longer land.
+		m.pending = nil
+	}
 	return m.step(now)
 }
 
-// Drain makes this daemon give its slots away and leave.
-func (m *Machine) Drain(now time.Time) []Effect {
-	m.state = Draining
-	return m.step(now)
-}
+// Unregistered tells the machine that its lease has ended.
+func (m *Machine) Unregistered() { m.isRegistered = false }
 
-// Abandon takes an operator's word that a member is gone for good: its slots move without seals.
-func (m *Machine) Abandon(now time.Time, ref Ref) []Effect {
-	m.abandoned[ref] = true
-	m.wantRead = true
+// Renewed tells the machine that its lease was renewed by a call sent at a time.
+func (m *Machine) Renewed(now, sentAt Instant) []Effect {
+	m.extend(now, sentAt)
 	return m.step(now)
 }
 
-// SetPool tells which daemons of the mesh could be witnesses.
-func (m *Machine) SetPool(now time.Time, pool []PoolMember) []Effect {
-	if m.witnesses.setPool(now, m.self.Host, pool) {
-		return m.step(now)
+func (m *Machine) extend(now, sentAt Instant) {
+	m.authority = max(m.authority, sentAt.Add(m.timing.Authority))
+	if now.Sub(m.renewedAt) > m.timing.AbsenceGrace {
+		m.storeSince = now
 	}
-	return nil
+	m.renewedAt = now
 }
 
-// Learn takes in a record that another daemon or a watch brought.
-func (m *Machine) Learn(now time.Time, v Versioned) []Effect {
-	return append(m.adopt(now, v), m.step(now)...)
+// Learn takes in a record that came by a watch or from another daemon.
+func (m *Machine) Learn(now Instant, r *Record, revision store.Revision) []Effect {
+	return append(m.adopt(now, r, revision), m.step(now)...)
 }
 
-// Deliver takes in a message for this member. Messages for the witness role go to Witness.
-func (m *Machine) Deliver(now time.Time, message Message) []Effect {
-	switch msg := message.(type) {
-	case VouchReply:
-		m.vouched(now, msg)
-	case SealReply:
-		m.sealed(now, msg)
-	case SilenceNotice:
-		m.suspect(now, msg)
-	case LoadNote:
-		m.noteLoad(msg)
+// ReadDone takes in the answer to ReadRecord, issued under an epoch. A missing record has no revision.
+func (m *Machine) ReadDone(now Instant, epoch Epoch, r *Record, revision store.Revision, ok bool) []Effect {
+	m.isReading = false
+	if !ok {
+		m.readAfter = now.Add(m.timing.Retry)
+		return nil
 	}
-	return m.step(now)
+	effects := m.adopt(now, r, revision)
+	if m.isRegistered && epoch == m.epoch {
+		m.isFresh = true
+	}
+	return append(effects, m.step(now)...)
 }
 
-// Idle reports that slots of a Quiesce have no running work left.
-func (m *Machine) Idle(now time.Time, token uint64, slots []class.Slot) []Effect {
-	for _, slot := range slots {
-		if l, ok := m.leaving[slot]; ok && l.token == token && !l.idle {
-			l.idle = true
-			l.idleAt = now
+// adopt makes a newer record the known one.
+func (m *Machine) adopt(now Instant, r *Record, revision store.Revision) []Effect {
+	if r == nil || revision <= m.revision {
+		return nil
+	}
+	m.known = r
+	m.revision = revision
+	m.membersAt = now
+	effects := []Effect{Adopted{Record: r, Revision: revision}}
+	if p := m.pending; p != nil {
+		m.pending = nil
+		if r.Nonce == p.record.Nonce {
+			effects = append(effects, p.events...)
+			m.conflicts = 0
 		}
 	}
-	return m.step(now)
+	// Keys that have a new owner are no longer this host's to give.
+	self := r.Find(m.self)
+	leaving := m.leaving.Clone()
+	for span, to := range leaving.Runs() {
+		if to == "" {
+			continue
+		}
+		for part, a := range r.Keys.Within(span) {
+			if a.Owner != self || self == Nobody {
+				m.leaving.Set(part, "")
+				m.handovers.Set(part, "")
+			}
+		}
+	}
+	for host := range m.takeovers {
+		if !owns(r, host) {
+			delete(m.takeovers, host)
+		}
+	}
+	m.isLeaving = hasAny(&m.leaving)
+	m.restrictServed(self)
+	return effects
 }
 
-// Tick does what time asks for. Call it at least every few tens of milliseconds.
-func (m *Machine) Tick(now time.Time) []Effect { return m.step(now) }
-
-// LeaseEnd returns until when this member may serve, on its own clock.
-func (m *Machine) LeaseEnd(now time.Time) time.Time {
-	entry := m.entry()
-	if entry == nil {
-		return time.Time{}
-	}
-	end := m.majorityEnd(now, entry.Witnesses)
-	if m.pending != nil {
-		// While a change of its own witnesses is unresolved, both sets must vouch.
-		if next := m.pending.record.Find(m.self.Ref); next != nil {
-			end = earlier(end, m.majorityEnd(now, next.Witnesses))
+// restrictServed takes out of the served keys those that the record gives to others.
+func (m *Machine) restrictServed(self int) {
+	changed := false
+	served := m.served.Clone()
+	for span, isServed := range served.Runs() {
+		if !isServed {
+			continue
+		}
+		for part, a := range m.known.Keys.Within(span) {
+			if a.Owner != self || self == Nobody {
+				m.served.Set(part, false)
+				changed = true
+			}
 		}
 	}
-	return end
+	if changed {
+		m.version++
+	}
 }
 
-// Serves tells whether this member may give work for a slot to its backend server now.
-func (m *Machine) Serves(now time.Time, slot class.Slot) bool {
-	if m.known.Record == nil {
+func owns(r *Record, host HostID) bool {
+	index := r.Find(host)
+	if index == Nobody {
 		return false
 	}
-	owner := m.known.Record.Owner(slot)
-	if owner == nil || owner.Ref != m.self.Ref || m.leaving[slot] != nil {
-		return false
+	for _, a := range r.Keys.Runs() {
+		if a.Owner == index {
+			return true
+		}
 	}
-	return now.Before(m.LeaseEnd(now))
+	return false
 }
 
-// Fences returns the fence of each slot that this member serves while its lease lasts; zero means not served.
-func (m *Machine) Fences() []Generation {
-	fences := make([]Generation, m.slots)
-	if m.entry() == nil {
-		return fences
+func hasAny(m *keyspace.Map[HostID]) bool {
+	for _, to := range m.Runs() {
+		if to != "" {
+			return true
+		}
 	}
-	for _, slot := range m.known.Record.SlotsOf(m.self.Ref) {
-		if m.leaving[slot] == nil {
-			fences[slot] = m.known.Record.Fences[slot]
+	return false
+}
+
+// SetPeers takes in the membership: the hosts of this service, this one among them.
+func (m *Machine) SetPeers(now Instant, peers []Peer) []Effect {
+	slices.SortFunc(peers, func(a, b Peer) int { return compareHosts(a.Host, b.Host) })
+	if !slices.EqualFunc(peers, m.peers, sameMembership) {
+		m.membersAt = now
+	}
+	m.peers = peers
+	for host := range m.absentSince {
+		if m.isPresent(host) {
+			delete(m.absentSince, host)
+			delete(m.takeovers, host)
 		}
 	}
-	return fences
+	return m.step(now)
 }
 
-// Version changes whenever Fences may have changed.
-func (m *Machine) Version() uint64 { return m.version }
+func sameMembership(a, b Peer) bool {
+	return a.Host == b.Host && a.IsPresent == b.IsPresent && a.IsEligible == b.IsEligible
+}
 
-// entry returns this member's entry in the newest known record, or nil.
-func (m *Machine) entry() *Member {
-	if m.known.Record == nil {
-		return nil
+func compareHosts(a, b HostID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (m *Machine) isPresent(host HostID) bool {
+	for _, p := range m.peers {
+		if p.Host == host {
+			return p.IsPresent
+		}
 	}
-	return m.known.Record.Find(m.self.Ref)
+	return false
 }
 
-// majorityEnd returns the time until which a majority of a set has vouched. A member without witnesses serves
-// on the record alone: nobody can take over from it.
-func (m *Machine) majorityEnd(now time.Time, set []Ref) time.Time {
-	if len(set) == 0 {
-		return now.Add(m.timing.Vouch)
+// SetLoads takes in how many places work on each busy key, on average.
+func (m *Machine) SetLoads(loads map[class.Key]float64) { m.loads = loads }
+
+// SetServer takes in what is believed of the backend server beside this daemon.
+func (m *Machine) SetServer(now Instant, state ServerState) []Effect {
+	if state == m.state {
+		return nil
+	}
+	m.state = state
+	if state == ServerEnded {
+		m.held.Clear()
+		m.unknownUntil = min(m.unknownUntil, now)
+		m.stopServing()
 	}
-	ends := make([]time.Time, 0, len(set))
-	for _, witness := range set {
-		ends = append(ends, m.held[witness])
+	var effects []Effect
+	if state == ServerReady && m.isLeaving && m.pending == nil {
+		effects = append(effects, m.keep("server is back"))
 	}
-	slices.SortFunc(ends, func(a, b time.Time) int { return b.Compare(a) })
-	return ends[len(set)/2]
+	return append(effects, m.step(now)...)
+}
+
+// keep gives up the planned moves.
+func (m *Machine) keep(reason string) Effect {
+	m.leaving.Clear()
+	m.isLeaving = false
+	return Event{Kind: EventKept, Detail: reason}
+}
+
+// Tick does what time asks for. Call it at least every few tens of milliseconds.
+func (m *Machine) Tick(now Instant) []Effect { return m.step(now) }
+
+// Serving returns the keys for which requests may be sent to the backend server, until a time.
+func (m *Machine) Serving() (keyspace.Map[bool], Instant) { return m.served.Clone(), m.servedUntil }
+
+// Version changes whenever the result of Serving may have changed.
+func (m *Machine) Version() uint64 { return m.version }
+
+func (m *Machine) stopServing() {
+	m.served.Clear()
+	m.servedUntil = 0
+	m.version++
 }
 
 // step does everything that the present state asks for.
-func (m *Machine) step(now time.Time) []Effect {
-	effects := m.renew(now)
-	effects = append(effects, m.startLeaving(now)...)
-	effects = append(effects, m.advanceSuspicions(now)...)
-	effects = append(effects, m.write(now)...)
-	return append(effects, m.read(now)...)
+func (m *Machine) step(now Instant) []Effect {
+	effects := m.read(now)
+	effects = append(effects, m.suspect(now)...)
+	effects = append(effects, m.plan(now)...)
+	return append(effects, m.write(now)...)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// read asks for the record after a registration.
+func (m *Machine) read(now Instant) []Effect {
+	if !m.isRegistered || m.isFresh || m.isReading || now < m.readAfter {
+		return nil
 	}
-	return b
+	m.isReading = true
+	return []Effect{ReadRecord{}}
 }
 
-func compareRefs(a, b Ref) int {
-	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+// mayAct tells whether this host may write and grant.
+func (m *Machine) mayAct(now Instant) bool {
+	return m.isRegistered && m.isFresh && now < m.authority
 }
--- /dev/null
+++ b/ownership/plan.go
@@ -0,0 +1,232 @@
+package ownership
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/placement"
+	"github.com/skylarkrelay/skylarkrelay/store"
+)
+
+// plan decides which keys of this host should go to others, and stops granting them.
+func (m *Machine) plan(now Instant) []Effect {
+	if m.known == nil || !m.mayAct(now) || m.pending != nil {
+		return nil
+	}
+	self := m.known.Find(m.self)
+	if self == Nobody {
+		return nil
+	}
+	switch m.state {
+	case ServerReady:
+		return m.planLevel(now, self)
+	case ServerDraining, ServerSilent, ServerEnded:
+		return m.planLeave(now, self)
+	default:
+		return nil
+	}
+}
+
+// planLeave gives everything away, if there is somebody to take it.
+func (m *Machine) planLeave(now Instant, self int) []Effect {
+	var runs []placement.Run
+	for span, a := range m.known.Keys.Runs() {
+		if a.Owner != self {
+			continue
+		}
+		for part, to := range m.leaving.Within(span) {
+			if to == "" {
+				runs = append(runs, placement.Run{Span: part})
+			}
+		}
+	}
+	if len(runs) == 0 {
+		return nil
+	}
+	return m.leave(now, placement.Rehome(runs, m.places(m.known, m.self)), "server "+m.state.String())
+}
+
+// planLevel gives keys to servers that have far fewer, or far less to do.
+func (m *Machine) planLevel(now Instant, self int) []Effect {
+	if m.isLeaving {
+		if now.Sub(m.leavingSince) > m.timing.MoveTime {
+			return []Effect{m.keep("not released in time")}
+		}
+		return nil
+	}
+	isSettled := m.known.Members[self].Instance == m.instance && now.Sub(m.membersAt) > m.timing.Settle
+	if !isSettled || now < m.levelAt {
+		return nil
+	}
+	m.levelAt = now.Add(m.timing.LevelInterval)
+	index := -1
+	for i, p := range m.peers {
+		if p.Host == m.self {
+			index = i
+		}
+	}
+	if index < 0 {
+		return nil
+	}
+	places := m.places(m.known, "")
+	moves := placement.Level(index, m.runs(self), places, float64(max(1, m.peers[index].Places)))
+	return m.leave(now, moves, "levelling")
+}
+
+// runs returns this host's keys with the load on them. Busy keys form runs of their own, so that a hot run can be split.
+func (m *Machine) runs(self int) []placement.Run {
+	var runs []placement.Run
+	for span, a := range m.known.Keys.Runs() {
+		if a.Owner == self {
+			runs = append(runs, m.split(span)...)
+		}
+	}
+	return runs
+}
+
+// splitLoad is the load, in places, above which a run is looked at key by key.
+const splitLoad = 0.25
+
+func (m *Machine) split(span keyspace.Span) []placement.Run {
+	total := 0.0
+	for key := int(span.From); key <= int(span.To); key++ {
+		total += m.loads[class.Key(key)]
+	}
+	if total < splitLoad || span.Size() == 1 {
+		return []placement.Run{{Span: span, Load: total}}
+	}
+	// Parts of about a quarter of the load each.
+	var runs []placement.Run
+	part := placement.Run{Span: keyspace.Span{From: span.From}}
+	for key := int(span.From); key <= int(span.To); key++ {
+		part.Load += m.loads[class.Key(key)]
+		part.Span.To = class.Key(key)
+		if part.Load >= total/4 || key == int(span.To) {
+			runs = append(runs, part)
+			part = placement.Run{Span: keyspace.Span{From: class.Key(key + 1)}}
+		}
+	}
+	return runs
+}
+
+// places returns the peers as placement sees them. The host named besides has no capacity.
+func (m *Machine) places(r *Record, besides HostID) []placement.Place {
+	keys, rows := r.Held()
+	places := make([]placement.Place, len(m.peers))
+	for i, p := range m.peers {
+		places[i].Load = p.Load
+		if p.IsPresent && p.IsEligible && p.Host != besides {
+			places[i].Capacity = 1
+		}
+		if index := r.Find(p.Host); index != Nobody {
+			places[i].Keys = keys[index]
+			places[i].Rows = rows[index]
+		}
+	}
+	return places
+}
+
+// leave stops granting the keys of some moves.
+func (m *Machine) leave(now Instant, moves []placement.Move, reason string) []Effect {
+	keys := 0
+	for _, move := range moves {
+		if move.To == placement.Nobody || m.peers[move.To].Host == m.self {
+			continue
+		}
+		m.leaving.Set(move.Span, m.peers[move.To].Host)
+		keys += move.Span.Size()
+	}
+	if keys == 0 {
+		return nil
+	}
+	if !m.isLeaving {
+		m.leavingSince = now
+		m.freeSince = 0
+	}
+	m.isLeaving = true
+	return []Effect{Event{Kind: EventLeaving, Keys: keys, Detail: reason}}
+}
+
+// takeover is this host's effort to take over from a lost one.
+type takeover struct {
+	// isEnding says that the lost host's lease is being ended.
+	isEnding bool
+	hasEnded bool
+	// dueAt is when the lost host's authority has surely run out.
+	dueAt   Instant
+	retryAt Instant
+	epoch   store.Condition
+}
+
+// suspectRetry is the pause before a lease that could not be ended is tried again.
+const suspectRetry = 400 * time.Millisecond
+
+// suspect prepares to take over from members that are absent from the store.
+func (m *Machine) suspect(now Instant) []Effect {
+	if m.known == nil || !m.mayAct(now) || len(m.peers) == 0 {
+		return nil
+	}
+	var effects []Effect
+	line := m.placeInLine()
+	for _, member := range m.known.Members {
+		if member.Host == m.self || m.isPresent(member.Host) {
+			continue
+		}
+		since, known := m.absentSince[member.Host]
+		if !known {
+			since = now
+			m.absentSince[member.Host] = now
+		}
+		since = max(since, m.storeSince)
+		patience := m.timing.AbsenceGrace + time.Duration(line)*m.timing.Stagger
+		if line == placement.Nobody || now.Sub(since) < patience || !owns(m.known, member.Host) {
+			continue
+		}
+		t := m.takeovers[member.Host]
+		if t == nil {
+			t = &takeover{}
+			m.takeovers[member.Host] = t
+			effects = append(effects, Event{Kind: EventSuspected, Host: member.Host, Detail: "absent for " + strconv.FormatInt(now.Sub(since).Milliseconds(), 10) + " ms"})
+		}
+		if !t.hasEnded && !t.isEnding && now >= t.retryAt {
+			t.isEnding = true
+			effects = append(effects, EndLease{Host: member.Host})
+		}
+	}
+	return effects
+}
+
+// placeInLine returns how many usable hosts come before this one, or Nobody if this one is not usable.
+func (m *Machine) placeInLine() int {
+	line := 0
+	for _, p := range m.peers {
+		if !p.IsPresent || !p.IsEligible {
+			continue
+		}
+		if p.Host == m.self {
+			return line
+		}
+		line++
+	}
+	return placement.Nobody
+}
+
+// LeaseEnded takes in the answer to EndLease: the revision of the lost host's epoch, once its lease has surely ended and
+// its presence is gone.
+func (m *Machine) LeaseEnded(now Instant, host HostID, epochRevision store.Revision, ok bool) []Effect {
+	t := m.takeovers[host]
+	if t == nil || !t.isEnding {
+		return nil
+	}
+	t.isEnding = false
+	if !ok {
+		t.retryAt = now.Add(suspectRetry)
+		return nil
+	}
+	t.hasEnded = true
+	t.epoch = store.Condition{Key: m.layout.Epoch(host), Revision: epochRevision}
+	t.dueAt = now.Add(stretch(m.timing.Authority))
+	return m.step(now)
+}
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -1,226 +1,178 @@
-// Package ownership decides which daemon may give work for a slot to its backend server.
-//
-// It is a state machine without I/O: inputs and the time go in, effects come out.
 package ownership
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"slices"
-	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
 )
 
-// lostLength is how many lost members a record remembers.
-const lostLength = 16
+// RecordFormat is the version of the record's format. Daemons refuse records of a later one.
+const RecordFormat = 2
 
-// RecordFormat is the newest record format that this program reads.
-const RecordFormat = 1
+// Nobody is the index of no member.
+const Nobody = -1
 
-// unowned marks a slot that no member owns.
-const unowned = -1
-
-// HostID names a host of the mesh, from its settings.
-type HostID string
-
-// Incarnation tells the lives of one host's daemon apart. A later life has a higher number.
-type Incarnation uint64
-
-// Domain names a failure domain.
-type Domain string
-
-// Generation counts the changes of one cell's record.
-type Generation uint64
-
-// Revision is the store's version of one value. Zero means that the value does not exist.
-type Revision uint64
-
-// Ref names one life of one daemon.
-type Ref struct {
-	Host        HostID      `json:"host"`
-	Incarnation Incarnation `json:"incarnation"`
-}
-
-func (r Ref) String() string { return fmt.Sprintf("%s#%d", r.Host, r.Incarnation) }
-
-//go:generate go tool stringer -type=MemberState -linecomment
-
-// MemberState is what a member says of itself.
-type MemberState int
-
-const (
-	// Active members take slots.
-	Active MemberState = iota // active
-	// Draining members give their slots away and leave.
-	Draining // draining
-	// Unready members run without a usable backend server and own nothing new.
-	Unready // unready
-)
-
-// Member is one daemon of a cell.
+// Member is a host whose backend server may own keys.
 type Member struct {
-	Ref
-	// Peer is the address of the control connection, host:port.
-	Peer string `json:"peer"`
-	// Hop is the address that takes forwarded calls, host:port.
-	Hop string `json:"hop"`
-	// Operator is the address that serves operators, host:port.
-	Operator  string      `json:"operator"`
-	Domain    Domain      `json:"domain"`
-	State     MemberState `json:"state"`
-	Witnesses []Ref       `json:"witnesses"`
-	// Guard is what a taker waits in addition, for a backend server that does not check fences.
-	Guard time.Duration `json:"guard_ns,omitempty"`
+	Host HostID `json:"host"`
+	// Instance is the life of the backend server for which its fences were raised last.
+	Instance Instance `json:"instance"`
 }
 
-// Record is one cell: its members, and the owner and fence of each slot.
-type Record struct {
-	Format     int           `json:"format"`
-	Service    class.Service `json:"service"`
-	Generation Generation    `json:"generation"`
-	// Nonce identifies the write, so that a writer whose answer was lost finds out.
-	Nonce   string   `json:"nonce"`
-	Members []Member `json:"members"`
-	// Lost holds the members that were taken over last, the newest at the end. Work given to them has no answer.
-	Lost []Ref `json:"lost,omitempty"`
-	// Owners holds for each slot an index into Members, or -1.
-	Owners []int16 `json:"owners"`
-	// Fences holds for each slot the generation in which its owner got it.
-	Fences []Generation `json:"fences"`
+// Assignment says who owns a key. The zero Assignment belongs to no key of a record.
+type Assignment struct {
+	// Owner is an index of the record's members, or Nobody.
+	Owner    int
+	Fence    Fence
+	Handover Handover
 }
 
-// Versioned is a record with the revision under which the store keeps it.
-type Versioned struct {
-	Record   *Record
-	Revision Revision
+// Record says which member owns which keys of one service. It is never changed once it is shared.
+type Record struct {
+	Service class.Service
+	// Generation counts the records of the service. It is the source of fences.
+	Generation Fence
+	Members    []Member
+	Keys       keyspace.Map[Assignment]
+	// Nonce tells the writer its own record.
+	Nonce string
+}
+
+// Find returns the index of a host, or Nobody.
+func (r *Record) Find(host HostID) int {
+	for i, m := range r.Members {
+		if m.Host == host {
+			return i
+		}
+	}
+	return Nobody
 }
 
-// FormatError reports a record that this program cannot read.
-type FormatError struct {
-	Reason string
+// Owner returns the host that owns a key, or an empty name.
+func (r *Record) Owner(key class.Key) HostID {
+	return r.host(r.Keys.At(key).Owner)
 }
 
-func (e *FormatError) Error() string { return "cell record: " + e.Reason }
-
-// Decode reads a record from its stored form.
-func Decode(data []byte) (*Record, error) {
-	r := &Record{}
-	if err := json.NewDecoder(bytes.NewReader(data)).Decode(r); err != nil {
-		return nil, &FormatError{Reason: "damaged: " + err.Error()}
-	}
-	if r.Format > RecordFormat {
-		return nil, &FormatError{Reason: fmt.Sprintf("format %d is newer than %d", r.Format, RecordFormat)}
+func (r *Record) host(index int) HostID {
+	if index < 0 || index >= len(r.Members) {
+		return ""
 	}
-	if len(r.Owners) == 0 || len(r.Owners) != len(r.Fences) {
-		return nil, &FormatError{Reason: "owners and fences do not match"}
-	}
-	for _, owner := range r.Owners {
-		if owner < unowned || int(owner) >= len(r.Members) {
-			return nil, &FormatError{Reason: fmt.Sprintf("owner index %d of %d members", owner, len(r.Members))}
-		}
-	}
-	return r, nil
+	return r.Members[index].Host
 }
 
-// Encode returns the stored form of a record.
-func (r *Record) Encode() []byte {
-	data, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // a Record holds nothing that JSON refuses
+// Held returns how many keys and rows each member has.
+func (r *Record) Held() (keys, rows []int) {
+	keys = make([]int, len(r.Members))
+	rows = make([]int, len(r.Members))
+	for span, a := range r.Keys.Runs() {
+		if a.Owner >= 0 && a.Owner < len(keys) {
+			keys[a.Owner] += span.Size()
+			rows[a.Owner]++
+		}
 	}
-	return data
+	return keys, rows
 }
 
-// Clone returns a deep copy.
-func (r *Record) Clone() *Record {
-	c := *r
-	c.Members = slices.Clone(r.Members)
-	for i := range c.Members {
-		c.Members[i].Witnesses = slices.Clone(r.Members[i].Witnesses)
+// next returns a copy with the next generation.
+func (r *Record) next(nonce string) *Record {
+	return &Record{
+		Service:    r.Service,
+		Generation: r.Generation + 1,
+		Members:    append([]Member(nil), r.Members...),
+		Keys:       r.Keys.Clone(),
+		Nonce:      nonce,
 	}
-	c.Lost = slices.Clone(r.Lost)
-	c.Owners = slices.Clone(r.Owners)
-	c.Fences = slices.Clone(r.Fences)
-	return &c
 }
 
-// Find returns the member with the given ref, or nil.
-func (r *Record) Find(ref Ref) *Member {
-	if i := r.index(ref); i >= 0 {
-		return &r.Members[i]
-	}
-	return nil
+// assign gives a span to a member under a fresh fence.
+func (r *Record) assign(span keyspace.Span, owner int, handover Handover) {
+	r.Keys.Set(span, Assignment{Owner: owner, Fence: r.Generation, Handover: handover})
 }
 
-// Owner returns the owner of a slot, or nil.
-func (r *Record) Owner(slot class.Slot) *Member {
-	if int(slot) >= len(r.Owners) || r.Owners[slot] == unowned {
-		return nil
+// join returns the index of a host's member and adds it if need be.
+func (r *Record) join(m Member) int {
+	if index := r.Find(m.Host); index != Nobody {
+		return index
 	}
-	return &r.Members[r.Owners[slot]]
+	r.Members = append(r.Members, m)
+	return len(r.Members) - 1
 }
 
-// SlotsOf returns the slots that a member owns.
-func (r *Record) SlotsOf(ref Ref) []class.Slot {
-	index := r.index(ref)
-	if index < 0 {
-		return nil
-	}
-	var slots []class.Slot
-	for s, owner := range r.Owners {
-		if int(owner) == index {
-			slots = append(slots, class.Slot(s))
+// drop removes a member that owns nothing.
+func (r *Record) drop(index int) {
+	var keys keyspace.Map[Assignment]
+	for span, a := range r.Keys.Runs() {
+		if a.Owner > index {
+			a.Owner--
 		}
+		keys.Set(span, a)
 	}
-	return slots
+	r.Keys = keys
+	r.Members = append(r.Members[:index:index], r.Members[index+1:]...)
 }
 
-func (r *Record) index(ref Ref) int {
-	return slices.IndexFunc(r.Members, func(m Member) bool { return m.Ref == ref })
+// RecordError reports a record that cannot be read.
+type RecordError struct{ Reason string }
+
+func (e *RecordError) Error() string { return "ownership record: " + e.Reason }
+
+// wireRecord is the record in the store. Rows are first key, owner, fence and, if there is one, the handover.
+type wireRecord struct {
+	Format     int               `json:"format"`
+	Service    class.Service     `json:"service"`
+	Generation Fence             `json:"generation"`
+	Members    []Member          `json:"members"`
+	Rows       []json.RawMessage `json:"rows"`
+	Nonce      string            `json:"nonce"`
 }
 
-// remove takes a member out; its slots become unowned.
-func (r *Record) remove(ref Ref) {
-	gone := r.index(ref)
-	if gone < 0 {
-		return
-	}
-	r.Members = slices.Delete(r.Members, gone, gone+1)
-	for s, owner := range r.Owners {
-		switch {
-		case int(owner) == gone:
-			r.Owners[s] = unowned
-		case int(owner) > gone:
-			r.Owners[s] = owner - 1
+// Encode writes the record.
+func (r *Record) Encode() ([]byte, error) {
+	wire := wireRecord{Format: RecordFormat, Service: r.Service, Generation: r.Generation, Members: r.Members, Nonce: r.Nonce}
+	for span, a := range r.Keys.Runs() {
+		row := fmt.Appendf(nil, "[%d,%d,%d]", span.From, a.Owner, a.Fence)
+		if a.Handover != "" {
+			row = fmt.Appendf(nil, "[%d,%d,%d,%q]", span.From, a.Owner, a.Fence, a.Handover)
 		}
+		wire.Rows = append(wire.Rows, row)
 	}
+	return json.Marshal(wire)
 }
 
-// lose removes a member that was taken over.
-func (r *Record) lose(ref Ref) {
-	r.remove(ref)
-	r.Lost = append(r.Lost, ref)
-	r.Lost = r.Lost[max(0, len(r.Lost)-lostLength):]
-}
-
-// assign gives a slot to the member at an index, under the record's generation as fence.
-func (r *Record) assign(slot class.Slot, index int) {
-	r.Owners[slot] = int16(index)
-	r.Fences[slot] = r.Generation
+// Decode reads a record.
+func Decode(data []byte) (*Record, error) {
+	var wire wireRecord
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return nil, &RecordError{Reason: err.Error()}
+	}
+	if wire.Format > RecordFormat {
+		return nil, &RecordError{Reason: fmt.Sprintf("format %d is newer than %d", wire.Format, RecordFormat)}
+	}
+	if wire.Service == "" || len(wire.Rows) == 0 {
+		return nil, &RecordError{Reason: "service or rows are missing"}
+	}
+	r := &Record{Service: wire.Service, Generation: wire.Generation, Members: wire.Members, Nonce: wire.Nonce}
+	for _, raw := range wire.Rows {
+		from, a, err := decodeRow(raw, len(wire.Members))
+		if err != nil {
+			return nil, err
+		}
+		r.Keys.Set(keyspace.Span{From: from, To: class.KeyCount - 1}, a)
+	}
+	return r, nil
 }
 
-// newRecord returns the record of a cell that has no members yet.
-func newRecord(service class.Service, slots int) *Record {
-	r := &Record{
-		Format:  RecordFormat,
-		Service: service,
-		Owners:  make([]int16, slots),
-		Fences:  make([]Generation, slots),
+func decodeRow(raw json.RawMessage, members int) (class.Key, Assignment, error) {
+	var a Assignment
+	var from class.Key
+	fields := []any{&from, &a.Owner, &a.Fence, &a.Handover}
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return 0, a, &RecordError{Reason: "row " + string(raw) + ": " + err.Error()}
 	}
-	for i := range r.Owners {
-		r.Owners[i] = unowned
+	if a.Owner < Nobody || a.Owner >= members {
+		return 0, a, &RecordError{Reason: "row " + string(raw) + ": no such member"}
 	}
-	return r
+	return from, a, nil
 }
--- a/ownership/writefate_string.go
+++ b/ownership/writefate_string.go
@@ -8,14 +8,15 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[WriteLost-0]
-	_ = x[WriteLanded-1]
-	_ = x[WriteRefused-2]
+	_ = x[WriteLanded-0]
+	_ = x[WriteConflict-1]
+	_ = x[WriteRejected-2]
+	_ = x[WriteLost-3]
 }
 
-const _WriteFate_name = "lostlandedrefused"
+const _WriteFate_name = "landedconflictrejectedlost"
 
-var _WriteFate_index = [...]uint8{0, 4, 10, 17}
+var _WriteFate_index = [...]uint8{0, 6, 14, 22, 26}
 
 func (i WriteFate) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/peer/control.go
@@ -0,0 +1,311 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/skylarkrelay/skylarkrelay/link"
+	"github.com/skylarkrelay/skylarkrelay/membership"
+)
+
+// Methods between daemons.
+const (
+	methodPush   = "push"
+	methodDigest = "digest"
+	methodNewer  = "newer"
+	methodStore  = "store"
+)
+
+const (
+	// queueLength bounds the messages that wait for one peer. More are dropped: digests heal what is missed.
+	queueLength = 64
+	// controlDialTimeout bounds the making of a control connection.
+	controlDialTimeout = 250 * time.Millisecond
+	// controlSilence ends a control connection to a host that acknowledges nothing.
+	controlSilence = 600 * time.Millisecond
+	// askTimeout bounds a call to a peer.
+	askTimeout = 800 * time.Millisecond
+	// senderIdle ends a sender that had nothing to send.
+	senderIdle = 15 * time.Second
+)
+
+// Digest is what a daemon knows, summed up, and where it can be asked for it.
+type Digest struct {
+	From   string            `json:"from"`
+	Digest membership.Digest `json:"digest"`
+}
+
+// push is some entries that may be new to the receiver.
+type push struct {
+	From    string             `json:"from"`
+	Entries []membership.Entry `json:"entries"`
+}
+
+// outgoing is one notification on its way.
+type outgoing struct {
+	method string
+	params any
+}
+
+// Pool sends control messages. Each peer has one connection, and one goroutine that owns it.
+type Pool struct {
+	from string
+	lost metrics.Counter
+	sent metrics.Counter
+	ctx  context.Context
+
+	mu      sync.Mutex
+	senders map[string]chan outgoing
+	group   sync.WaitGroup
+}
+
+// NewPool returns a pool that names the given address as the sender's. It ends with the context.
+func NewPool(ctx context.Context, from string, registry metrics.Registry) *Pool {
+	return &Pool{
+		from:    from,
+		ctx:     ctx,
+		lost:    metrics.GetOrRegisterCounter("gossip.messages_lost", registry),
+		sent:    metrics.GetOrRegisterCounter("gossip.messages_sent", registry),
+		senders: map[string]chan outgoing{},
+	}
+}
+
+// Wait returns when all senders have ended, after the context has.
+func (p *Pool) Wait() { p.group.Wait() }
+
+// Push sends entries to a peer.
+func (p *Pool) Push(to string, entries []membership.Entry) {
+	p.notify(to, methodPush, push{From: p.from, Entries: entries})
+}
+
+// Digest tells a peer the sum of all that is known here.
+func (p *Pool) Digest(to string, digest membership.Digest) {
+	p.notify(to, methodDigest, Digest{From: p.from, Digest: digest})
+}
+
+// notify queues a notification; a full queue drops it.
+func (p *Pool) notify(to, method string, params any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return
+	}
+	queue := p.senders[to]
+	if queue == nil {
+		queue = make(chan outgoing, queueLength)
+		p.senders[to] = queue
+		p.group.Go(func() { p.run(to, queue) })
+	}
+	select {
+	case queue <- outgoing{method: method, params: params}:
+	default:
+		p.lost.Inc(1)
+	}
+}
+
+// run sends the messages of one peer until there has been nothing to send for a while.
+func (p *Pool) run(to string, queue chan outgoing) {
+	var conn *jsonrpc2.Conn
+	defer func() {
+		if conn != nil {
+			_ = conn.Close() // it may be closed already
+		}
+	}()
+	idle := time.NewTimer(senderIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-idle.C:
+			if p.retire(to, queue) {
+				return
+			}
+			idle.Reset(senderIdle)
+		case out := <-queue:
+			idle.Reset(senderIdle)
+			conn = p.send(conn, to, out)
+		}
+	}
+}
+
+// retire takes an idle sender out, unless a message has come meanwhile.
+func (p *Pool) retire(to string, queue chan outgoing) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(queue) > 0 {
+		return false
+	}
+	delete(p.senders, to)
+	return true
+}
+
+// send sends one message, on a new connection if need be. It returns the connection to go on with, or nil.
+func (p *Pool) send(conn *jsonrpc2.Conn, to string, out outgoing) *jsonrpc2.Conn {
+	if conn != nil {
+		select {
+		case <-conn.DisconnectNotify():
+			conn = nil
+		default:
+		}
+	}
+	if conn == nil {
+		fresh, err := dial(p.ctx, to)
+		if err != nil {
+			p.lost.Inc(1)
+			return nil
+		}
+		conn = fresh
+	}
+	if err := conn.Notify(p.ctx, out.method, out.params); err != nil {
+		_ = conn.Close() // it is broken
+		p.lost.Inc(1)
+		return nil
+	}
+	p.sent.Inc(1)
+	return conn
+}
+
+func dial(ctx context.Context, to string) (*jsonrpc2.Conn, error) {
+	dialer := link.Dialer(controlDialTimeout, controlSilence)
+	raw, err := dialer.DialContext(ctx, "tcp", to)
+	if err != nil {
+		return nil, err
+	}
+	return jsonrpc2.NewConn(ctx, stream(raw), nobody{}, quiet()), nil
+}
+
+// stream bounds each write, so that a frozen peer cannot hold its sender up for good.
+func stream(raw net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewPlainObjectStream(&boundedConn{Conn: raw})
+}
+
+type boundedConn struct{ net.Conn }
+
+func (c *boundedConn) Write(b []byte) (int, error) {
+	// Socket deadlines are on the operating system's clock.
+	if err := c.SetWriteDeadline(time.Now().Add(askTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// quiet keeps the library from logging on its own: failures come back as errors.
+func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(discard{}) }
+
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
+
+// nobody handles requests on connections that only send.
+type nobody struct{}
+
+func (nobody) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+
+// Newer asks a peer for what it knows better.
+func Newer(ctx context.Context, from string, than membership.Versions) ([]membership.Entry, error) {
+	var entries []membership.Entry
+	err := ask(ctx, from, methodNewer, than, &entries)
+	return entries, err
+}
+
+// ask makes one call on a connection of its own: calls are rare, and a slow one must not delay messages.
+func ask(ctx context.Context, to, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	conn, err := dial(ctx, to)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return conn.Call(ctx, method, params, result)
+}
+
+// Handler takes the messages of other daemons. Its methods are called from many goroutines.
+type Handler interface {
+	// Push takes in entries that may be new.
+	Push(from string, entries []membership.Entry)
+	// Digest compares what a peer knows.
+	Digest(d Digest)
+	// Newer returns what is known better here.
+	Newer(than membership.Versions) []membership.Entry
+	// Store makes a call to the store for a peer that it turns away.
+	Store(ctx context.Context, c StoreCall) StoreAnswer
+	// Broken is told of messages that cannot be read.
+	Broken(err error)
+}
+
+// Serve takes control connections until the listener is closed.
+func Serve(ctx context.Context, listener net.Listener, handler Handler) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		conn := jsonrpc2.NewConn(ctx, stream(raw), receiver{handler: handler}, quiet())
+		group.Go(func() {
+			select {
+			case <-conn.DisconnectNotify():
+			case <-ctx.Done():
+				_ = conn.Close() // it may be closed already
+			}
+		})
+	}
+}
+
+// receiver hands messages to the handler.
+type receiver struct{ handler Handler }
+
+// Handle implements jsonrpc2.Handler. Messages of a connection are handled in their order.
+func (r receiver) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	switch request.Method {
+	case methodPush:
+		if p, ok := decode[push](r, request); ok {
+			r.handler.Push(p.From, p.Entries)
+		}
+	case methodDigest:
+		if d, ok := decode[Digest](r, request); ok {
+			r.handler.Digest(d)
+		}
+	case methodNewer:
+		if versions, ok := decode[membership.Versions](r, request); ok {
+			r.reply(ctx, conn, request, r.handler.Newer(versions))
+		}
+	case methodStore:
+		if c, ok := decode[StoreCall](r, request); ok {
+			r.reply(ctx, conn, request, r.handler.Store(ctx, c))
+		}
+	default:
+		r.handler.Broken(&MessageError{Part: request.Method, Cause: "unknown method"})
+	}
+}
+
+func (r receiver) reply(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, result any) {
+	if err := conn.Reply(ctx, request.ID, result); err != nil {
+		r.handler.Broken(&MessageError{Part: request.Method, Cause: err.Error()})
+	}
+}
+
+func decode[T any](r receiver, request *jsonrpc2.Request) (T, bool) {
+	var value T
+	if request.Params == nil {
+		r.handler.Broken(&MessageError{Part: request.Method, Cause: "has no parameters"})
+		return value, false
+	}
+	if err := json.Unmarshal(*request.Params, &value); err != nil {
+		r.handler.Broken(&MessageError{Part: request.Method, Cause: err.Error()})
+		return value, false
+	}
+	return value, true
+}
