--- a/peer/hop.go
+++ b/peer/hop.go
@@ -1,15 +1,13 @@
+// Package peer speaks with the other daemons: it forwards calls to them, and spreads what the mesh knows.
 package peer
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,247 +15,230 @@
 	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/link"
 )
 
+// Headers between daemons, besides those of the request itself.
 const (
-	hopPath        = "/hop"
-	callHeader     = "Skylark-Call"
-	answerHeader   = "Skylark-Answer"
-	maxHeaderBytes = 64 << 10
-	// hopDialTimeout bounds the making of a connection between hosts.
-	hopDialTimeout = 250 * time.Millisecond
-	// hopGrace is what an entry waits beyond the deadline for the owner's own word.
-	hopGrace = 50 * time.Millisecond
+	classHeader    = "Skylark-Hop-Class"
+	serviceHeader  = "Skylark-Hop-Service"
+	originHeader   = "Skylark-Hop-Origin"
+	requestHeader  = "Skylark-Hop-Request"
+	leftHeader     = "Skylark-Hop-Left-Us"
+	keyHeader      = "Skylark-Hop-Key"
+	classSpec      = "Skylark-Hop-Spec"
+	outcomeHeader  = "Skylark-Hop-Outcome"
+	reasonHeader   = "Skylark-Hop-Reason"
+	loadHeader     = "Skylark-Hop-Load"
+	waitHeader     = "Skylark-Hop-Retry-Us"
+	answererHeader = "Skylark-Hop-Host"
 )
 
-// forwarded is what the owner has to know of a call besides its body.
-type forwarded struct {
-	ID          class.RequestID `json:"id"`
-	Class       class.Name      `json:"class"`
-	Key         class.Key       `json:"key,omitempty"`
-	Slot        int             `json:"slot"`
-	Method      string          `json:"method"`
-	URI         string          `json:"uri"`
-	Header      http.Header     `json:"header"`
-	DeadlineUS  int64           `json:"deadline_us"`
-	Idempotency string          `json:"idempotency,omitempty"`
-	IsRepeat    bool            `json:"repeat,omitempty"`
-}
+const (
+	// hopDialTimeout bounds the making of a connection between hosts: many round trips of the mesh, and a lost packet
+	// less than its resending.
+	hopDialTimeout = 150 * time.Millisecond
+	// hopSilence ends a connection to a host that acknowledges nothing.
+	hopSilence = 500 * time.Millisecond
+	// hopIdle is how long an unused connection between hosts is kept.
+	hopIdle = 20 * time.Second
+	// hopMaxIdle bounds the unused connections to one host.
+	hopMaxIdle = 16
+	// maxHopBody bounds a body between hosts.
+	maxHopBody = 64 << 20
+	// specFormat carries of a class what admission needs: latency in microseconds, rank, idempotence.
+	specFormat = "%d,%d,%t"
+	// loadFormat carries running, waiting, places and the wait in microseconds.
+	loadFormat = "%d,%d,%d,%d"
+)
 
-// returned is what the entry has to know of an answer besides its body.
-type returned struct {
-	Outcome string      `json:"outcome"`
-	Reason  string      `json:"reason"`
-	Status  int         `json:"status"`
-	Header  http.Header `json:"header,omitempty"`
-	Host    string      `json:"host"`
-	ID      string      `json:"id"`
+// MessageError reports input of another daemon that cannot be read.
+type MessageError struct {
+	Part  string
+	Cause string
 }
 
+func (e *MessageError) Error() string { return "message of a daemon: " + e.Part + ": " + e.Cause }
+
 // Owner runs forwarded calls.
 type Owner interface {
 	Run(ctx context.Context, c call.Call) call.Answer
 }
 
-// Classes finds the classes in force.
-type Classes interface {
-	Find(name class.Name) (class.Class, bool)
+// HopClient forwards calls to the daemons beside the servers that are to run them.
+type HopClient struct {
+	clock  clockwork.Clock
+	onDial func()
+
+	mu    sync.Mutex
+	pools map[string]*link.Pool
 }
 
-// HopClient forwards calls to the daemons that own their keys.
-type HopClient struct {
-	clock   clockwork.Clock
-	maxBody int64
-	http    *http.Client
+// NewHopClient returns a client without connections.
+func NewHopClient(onDial func(), clock clockwork.Clock) *HopClient {
+	return &HopClient{clock: clock, onDial: onDial, pools: map[string]*link.Pool{}}
 }
 
-// NewHopClient returns a client that reads answers up to maxBody bytes.
-func NewHopClient(maxBody int64, clock clockwork.Clock) *HopClient {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{
-		Protocols:          protocols,
-		DialContext:        (&net.Dialer{Timeout: hopDialTimeout}).DialContext,
-		DisableCompression: true,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: 500 * time.Millisecond,
-			PingTimeout:     500 * time.Millisecond,
-		},
+func (h *HopClient) pool(address string) *link.Pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.pools[address]
+	if p == nil {
+		p = link.NewPool(address, link.Options{
+			DialTimeout:    hopDialTimeout,
+			SilenceTimeout: hopSilence,
+			IdleTimeout:    hopIdle,
+			MaxIdle:        hopMaxIdle,
+			MaxBody:        maxHopBody,
+			OnDial:         h.onDial,
+		}, h.clock)
+		h.pools[address] = p
+	}
+	return p
+}
+
+// Keep closes the connections to all but some addresses.
+func (h *HopClient) Keep(addresses map[string]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for address, p := range h.pools {
+		if !addresses[address] {
+			p.Close()
+			delete(h.pools, address)
+		}
 	}
-	return &HopClient{clock: clock, maxBody: maxBody, http: &http.Client{Transport: transport}}
 }
 
 // Send forwards a call to the daemon at an address and returns its answer, or what is known of it.
 func (h *HopClient) Send(ctx context.Context, address string, c call.Call) call.Answer {
-	var isSent atomic.Bool
 	left := c.Deadline.Sub(h.clock.Now())
 	if left <= 0 {
 		return call.NotRun(call.Late)
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, h.clock, left+hopGrace)
-	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		// Once the headers are out the owner may begin; before that it cannot.
-		WroteHeaders: func() { isSent.Store(true) },
+	header := c.Header.Clone()
+	header.Set(requestHeader, string(c.ID))
+	header.Set(classHeader, string(c.Class.Name))
+	header.Set(serviceHeader, string(c.Service))
+	header.Set(originHeader, string(c.Origin))
+	header.Set(leftHeader, strconv.FormatInt(left.Microseconds(), 10))
+	header.Set(classSpec, fmt.Sprintf(specFormat, c.Class.Latency.Microseconds(), c.Class.Rank, c.Class.Idempotent))
+	if c.HasKey {
+		header.Set(keyHeader, strconv.Itoa(int(c.Key)))
+	}
+	response, err := h.pool(address).Do(ctx, backend.NewRequest(c, header), func(r *http.Response) bool {
+		return r.Header.Get(requestHeader) == string(c.ID)
 	})
-	request, err := h.request(ctx, address, c, left)
-	if err != nil {
-		return call.NotRun(call.BadRequest)
-	}
-	response, err := h.http.Do(request)
 	if err != nil {
-		return broken(isSent.Load(), !h.clock.Now().Before(c.Deadline))
+		return backend.Failed(ctx, err, !h.clock.Now().Before(c.Deadline))
 	}
-	defer response.Body.Close()
-	return h.read(response, c.ID)
+	return readAnswer(response)
 }
 
-// broken tells what a call without an answer may have done. An attempt that was given up early, because its daemon
-// was lost, is like one to a daemon that cannot be reached.
-func broken(isSent, isOver bool) call.Answer {
-	switch {
-	case !isSent && isOver:
-		return call.NotRun(call.Late)
-	case !isSent:
-		return call.NotRun(call.Unreachable)
-	case isOver:
-		return call.Unknown(call.Interrupted)
-	default:
-		return call.Unknown(call.AnswerLost)
+// readAnswer takes an answer apart. One that does not say its outcome is unknown.
+func readAnswer(r *link.Response) call.Answer {
+	a := call.Answer{
+		Outcome: class.ParseOutcome(r.Header.Get(outcomeHeader)),
+		Reason:  call.ParseReason(r.Header.Get(reasonHeader)),
+		Status:  r.Status,
+		Host:    r.Header.Get(answererHeader),
+		Body:    r.Body,
 	}
-}
-
-func (h *HopClient) request(ctx context.Context, address string, c call.Call, left time.Duration) (*http.Request, error) {
-	data, err := json.Marshal(forwarded{
-		ID:          c.ID,
-		Class:       c.Class.Name,
-		Key:         c.Key,
-		Slot:        c.Slot,
-		Method:      c.Method,
-		URI:         c.URI,
-		Header:      c.Header,
-		DeadlineUS:  left.Microseconds(),
-		Idempotency: c.Idempotency,
-		IsRepeat:    c.IsRepeat,
-	})
-	if err != nil {
-		return nil, &MessageError{Method: callHeader, Reason: err.Error()}
+	if us, err := strconv.ParseInt(r.Header.Get(waitHeader), 10, 64); err == nil {
+		a.RetryAfter = time.Duration(us) * time.Microsecond
 	}
-	body := backend.OnceBody(c.Body)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+hopPath, body)
-	if err != nil {
-		return nil, &MessageError{Method: callHeader, Reason: err.Error()}
-	}
-	request.ContentLength = int64(len(c.Body))
-	request.Header.Set(callHeader, base64.StdEncoding.EncodeToString(data))
-	return request, nil
-}
-
-// read takes the answer apart. One that is not whole, or not for this call, is unknown.
-func (h *HopClient) read(response *http.Response, id class.RequestID) call.Answer {
-	body, ok := backend.ReadWhole(response, h.maxBody)
-	if !ok || response.StatusCode != http.StatusOK {
-		return call.Unknown(call.AnswerLost)
-	}
-	var meta returned
-	data, err := base64.StdEncoding.DecodeString(response.Header.Get(answerHeader))
-	if err != nil || json.Unmarshal(data, &meta) != nil || meta.ID != string(id) {
-		return call.Unknown(call.AnswerLost)
-	}
-	return call.Answer{
-		Outcome: class.ParseOutcome(meta.Outcome),
-		Reason:  call.ParseReason(meta.Reason),
-		Status:  meta.Status,
-		Header:  meta.Header,
-		Body:    body,
-		Host:    meta.Host,
+	var load call.Load
+	var waitUS int64
+	if n, err := fmt.Sscanf(r.Header.Get(loadHeader), loadFormat, &load.Running, &load.Waiting, &load.Places, &waitUS); err == nil && n == 4 {
+		load.Wait = time.Duration(waitUS) * time.Microsecond
+		a.Load = &load
 	}
+	call.StripConnection(r.Header)
+	call.StripInternal(r.Header)
+	a.Header = r.Header
+	return a
 }
 
 // HopHandler serves forwarded calls. Broken ones are reported and answered as not run.
-func HopHandler(owner Owner, classes func() Classes, maxBody int64, clock clockwork.Clock, report func(error)) http.Handler {
-	h := &hopHandler{owner: owner, classes: classes, maxBody: maxBody, clock: clock, report: report}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+hopPath, h.serve)
-	return mux
-}
-
-type hopHandler struct {
-	owner   Owner
-	classes func() Classes
-	maxBody int64
-	clock   clockwork.Clock
-	report  func(error)
-}
-
-func (h *hopHandler) serve(w http.ResponseWriter, r *http.Request) {
-	c, err := h.decode(w, r)
-	if err != nil {
-		h.report(err)
-		answerHop(w, c.ID, call.NotRun(call.BadRequest))
-		return
-	}
-	answerHop(w, c.ID, h.owner.Run(r.Context(), c))
-}
-
-func (h *hopHandler) decode(w http.ResponseWriter, r *http.Request) (call.Call, error) {
-	var f forwarded
-	data, err := base64.StdEncoding.DecodeString(r.Header.Get(callHeader))
-	if err != nil {
-		return call.Call{}, &MessageError{Method: callHeader, Reason: err.Error()}
-	}
-	if err := json.Unmarshal(data, &f); err != nil {
-		return call.Call{}, &MessageError{Method: callHeader, Reason: err.Error()}
-	}
-	found, ok := h.classes().Find(f.Class)
-	if !ok {
-		return call.Call{ID: f.ID}, &MessageError{Method: callHeader, Reason: "unknown class " + string(f.Class)}
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.maxBody))
-	if err != nil {
-		return call.Call{ID: f.ID}, &MessageError{Method: callHeader, Reason: err.Error()}
-	}
-	return call.Call{
-		ID:          f.ID,
-		Class:       found,
-		Key:         f.Key,
-		Slot:        f.Slot,
-		Method:      f.Method,
-		URI:         f.URI,
-		Header:      f.Header,
-		Body:        body,
-		Deadline:    h.clock.Now().Add(time.Duration(f.DeadlineUS) * time.Microsecond),
-		Idempotency: f.Idempotency,
-		IsRepeat:    f.IsRepeat,
-	}, nil
-}
-
-func answerHop(w http.ResponseWriter, id class.RequestID, a call.Answer) {
-	data, err := json.Marshal(returned{
-		Outcome: a.Outcome.String(),
-		Reason:  a.Reason.String(),
-		Status:  a.Status,
-		Header:  a.Header,
-		Host:    a.Host,
-		ID:      string(id),
+func HopHandler(owner Owner, host string, clock clockwork.Clock, report func(error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := readCall(w, r, clock)
+		answer := call.NotRun(call.BadRequest)
+		if err == nil {
+			answer = owner.Run(r.Context(), c)
+		} else {
+			report(err)
+		}
+		answer.Host = host
+		if err := writeAnswer(w, r.Header.Get(requestHeader), answer); err != nil && r.Context().Err() == nil {
+			report(&MessageError{Part: "answer", Cause: err.Error()})
+		}
 	})
-	if err != nil {
-		panic(err) // a returned holds nothing that JSON refuses
-	}
-	w.Header().Set(answerHeader, base64.StdEncoding.EncodeToString(data))
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
-	w.WriteHeader(http.StatusOK)
-	_, _ = w.Write(a.Body) // an entry that is gone cannot be told
 }
 
-// NewHopServer returns the HTTP/2 server for forwarded calls.
-func NewHopServer(handler http.Handler) *http.Server {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:        handler,
-		Protocols:      protocols,
-		MaxHeaderBytes: 2 * maxHeaderBytes,
-		HTTP2:          &http.HTTP2Config{MaxConcurrentStreams: 5000},
-	}
+func readCall(w http.ResponseWriter, r *http.Request, clock clockwork.Clock) (call.Call, error) {
+	arrived := clock.Now()
+	leftUS, err := strconv.ParseInt(r.Header.Get(leftHeader), 10, 64)
+	if err != nil {
+		return call.Call{}, &MessageError{Part: leftHeader, Cause: err.Error()}
+	}
+	c := call.Call{
+		ID:       class.RequestID(r.Header.Get(requestHeader)),
+		Service:  class.Service(r.Header.Get(serviceHeader)),
+		Origin:   class.Service(r.Header.Get(originHeader)),
+		Method:   r.Method,
+		URI:      r.RequestURI,
+		Host:     r.Host,
+		Deadline: arrived.Add(time.Duration(leftUS) * time.Microsecond),
+	}
+	c.Class = &class.Class{Name: class.Name(r.Header.Get(classHeader))}
+	var latencyUS int64
+	if _, err := fmt.Sscanf(r.Header.Get(classSpec), specFormat, &latencyUS, &c.Class.Rank, &c.Class.Idempotent); err != nil {
+		return c, &MessageError{Part: classSpec, Cause: err.Error()}
+	}
+	c.Class.Latency = time.Duration(latencyUS) * time.Microsecond
+	if text := r.Header.Get(keyHeader); text != "" {
+		key, err := strconv.ParseUint(text, 10, 16)
+		if err != nil {
+			return c, &MessageError{Part: keyHeader, Cause: err.Error()}
+		}
+		c.Key, c.HasKey = class.Key(key), true
+	}
+	if r.ContentLength != 0 {
+		c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxHopBody))
+		if err != nil {
+			return c, &MessageError{Part: "body", Cause: err.Error()}
+		}
+	}
+	c.Header = r.Header.Clone()
+	call.StripConnection(c.Header)
+	call.StripInternal(c.Header)
+	return c, nil
+}
+
+func writeAnswer(w http.ResponseWriter, id string, a call.Answer) error {
+	header := w.Header()
+	for name, values := range a.Header {
+		header[name] = values
+	}
+	header.Set(requestHeader, id)
+	header.Set(outcomeHeader, a.Outcome.String())
+	header.Set(reasonHeader, a.Reason.String())
+	header.Set(answererHeader, a.Host)
+	if a.RetryAfter > 0 {
+		header.Set(waitHeader, strconv.FormatInt(a.RetryAfter.Microseconds(), 10))
+	}
+	if a.Load != nil {
+		header.Set(loadHeader, fmt.Sprintf(loadFormat, a.Load.Running, a.Load.Waiting, a.Load.Places, a.Load.Wait.Microseconds()))
+	}
+	header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	status := a.Status
+	if a.Outcome != class.Answered {
+		status = http.StatusOK
+	}
+	w.WriteHeader(status)
+	_, err := w.Write(a.Body)
+	return err
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,134 +1,258 @@
-// Package placement decides which member owns which slot, with the fewest moves.
+// Package placement decides which backend server should hold which keys. It is pure.
+//
+// Busy keys lie close to one another, so neighbouring keys are spread over servers in short stripes.
 package placement
 
 import (
+	"cmp"
+	"math"
 	"slices"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
+)
+
+const (
+	// stripesPerPlace is how many stripes a server gets in a first deal. An answer to a heartbeat has room for some
+	// 180 rows; the rest is for stripes that are split, and for those of servers that are lost.
+	stripesPerPlace = 100
+	// MaxRows is how many rows a server may hold.
+	MaxRows = 165
 )
 
-// Nobody marks a slot without an owner.
+// Nobody is the index of no place.
 const Nobody = -1
 
-// Place is one member as placement sees it.
+// Place is one backend server as placement sees it.
 type Place struct {
-	// Eligible members take slots; the others give theirs away.
-	Eligible bool
-	// Successor is the index of the member that should rather get this one's slots, or Nobody.
-	Successor int
+	// Capacity is how much it can do, relative to the others.
+	Capacity float64
+	// Keys is how many keys it has or is about to get.
+	Keys int
+	// Rows is how many separate runs of keys it has or is about to get.
+	Rows int
+	// Load is how many of its places are busy on average.
+	Load float64
 }
 
-// Move gives a slot to a member.
-type Move struct {
-	Slot int
-	From int
-	To   int
+// Deal spreads all keys over places in proportion to their capacity.
+func Deal(places []Place) keyspace.Map[int] {
+	var owners keyspace.Map[int]
+	if len(places) == 0 {
+		owners.Set(keyspace.All(), Nobody)
+		return owners
+	}
+	stripes := 1 << int(math.Ceil(math.Log2(float64(stripesPerPlace*len(places)))))
+	stripes = min(stripes, class.KeyCount)
+	size := class.KeyCount / stripes
+	turns := newTurns(places)
+	for stripe := range stripes {
+		from := class.Key(stripe * size)
+		owners.Set(keyspace.Span{From: from, To: from + class.Key(size-1)}, turns.next())
+	}
+	return owners
 }
 
-// Plan returns the moves that make slot counts equal within one among the eligible places.
-//
-// Slots of ineligible owners and unowned slots go first; then surplus moves from the fullest to the emptiest.
-// The plan depends on nothing but its arguments, so all members compute the same.
-func Plan(owners []int, places []Place) []Move {
-	eligible := eligibleIndexes(places)
-	if len(eligible) == 0 {
-		return nil
+// turns picks places in proportion to their capacity, as evenly in time as can be.
+type turns struct {
+	capacity []float64
+	credit   []float64
+	total    float64
+}
+
+func newTurns(places []Place) *turns {
+	t := &turns{capacity: make([]float64, len(places)), credit: make([]float64, len(places))}
+	for i, p := range places {
+		t.capacity[i] = p.Capacity
+		t.total += p.Capacity
 	}
-	counts := make([]int, len(places))
-	for _, owner := range owners {
-		if owner != Nobody {
-			counts[owner]++
+	return t
+}
+
+func (t *turns) next() int {
+	best := 0
+	for i := range t.credit {
+		t.credit[i] += t.capacity[i]
+		if t.credit[i] > t.credit[best] {
+			best = i
 		}
 	}
-	quota := quotas(counts, eligible, len(owners))
-	moves := rehome(owners, places, eligible, counts, quota)
-	return append(moves, level(owners, places, counts, quota)...)
+	t.credit[best] -= t.total
+	return best
 }
 
-// quotas returns each place's fair share; the places that hold the most get the odd slots, which saves moves.
-func quotas(counts, eligible []int, slots int) []int {
-	byCount := slices.Clone(eligible)
-	slices.SortStableFunc(byCount, func(a, b int) int { return counts[b] - counts[a] })
-	quota := make([]int, len(counts))
-	base, odd := slots/len(eligible), slots%len(eligible)
-	for i, index := range byCount {
-		quota[index] = base
-		if i < odd {
-			quota[index]++
+// Run is a span of keys with the load on it.
+type Run struct {
+	Span keyspace.Span
+	// Load is how many places of a server work on these keys on average.
+	Load float64
+}
+
+// Move gives a span to a place.
+type Move struct {
+	Span keyspace.Span
+	To   int
+}
+
+// Rehome finds new places for runs whose server leaves or is lost: each run goes to the place that has the least keys
+// for its capacity then. Places without capacity get none.
+func Rehome(runs []Run, places []Place) []Move {
+	places = slices.Clone(places)
+	moves := make([]Move, 0, len(runs))
+	for _, run := range runs {
+		best := Nobody
+		for i, p := range places {
+			if p.Capacity > 0 && (best == Nobody || fullness(p) < fullness(places[best])) {
+				best = i
+			}
 		}
+		if best == Nobody {
+			return nil
+		}
+		places[best].Keys += run.Span.Size()
+		places[best].Rows++
+		places[best].Load += run.Load
+		moves = append(moves, Move{Span: run.Span, To: best})
 	}
-	return quota
+	return moves
 }
 
-// rehome finds owners for slots that are unowned or held by an ineligible place.
-func rehome(owners []int, places []Place, eligible, counts, quota []int) []Move {
+// fullness ranks places by their keys for their capacity; a place that is out of rows comes last.
+func fullness(p Place) float64 {
+	full := float64(p.Keys) / p.Capacity
+	if p.Rows >= MaxRows {
+		full += class.KeyCount
+	}
+	return full
+}
+
+const (
+	// joinShare is the part of its fair share below which a place gets keys for their number alone.
+	joinShare = 0.5
+	// loadMargin is how far above the mean a place's load must be before keys move for it.
+	loadMargin = 0.2
+	// leastLoad is the share of a server's places below which its load is no reason to move keys.
+	leastLoad = 0.45
+	// reliefShare is the part of the gap between two places that a move should carry.
+	reliefShare = 0.5
+	// leastRelief is the load, in places, below which a run is not worth a move.
+	leastRelief = 0.02
+)
+
+// Level returns the runs that a place should give to others, because these have next to none or far less to do.
+func Level(self int, runs []Run, places []Place, capacityPlaces float64) []Move {
+	if moves := fill(self, runs, places); len(moves) > 0 {
+		return moves
+	}
+	return relieve(self, runs, places, capacityPlaces)
+}
+
+// fill gives a place's part of what newcomers lack.
+func fill(self int, runs []Run, places []Place) []Move {
+	total, surplus := 0.0, 0.0
+	for _, p := range places {
+		total += p.Capacity
+	}
+	if total == 0 {
+		return nil
+	}
+	fair := func(i int) float64 { return class.KeyCount * places[i].Capacity / total }
+	for i, p := range places {
+		surplus += max(0, float64(p.Keys)-fair(i))
+	}
+	own := max(0, float64(places[self].Keys)-fair(self))
+	if own == 0 || surplus == 0 {
+		return nil
+	}
 	var moves []Move
-	for slot, owner := range owners {
-		if owner != Nobody && places[owner].Eligible {
+	taken := map[int]bool{}
+	for i, p := range places {
+		lack := fair(i) - float64(p.Keys)
+		if i == self || p.Capacity == 0 || float64(p.Keys) >= joinShare*fair(i) {
 			continue
 		}
-		to := emptiest(counts, quota, eligible)
-		if owner != Nobody {
-			if next := places[owner].Successor; next != Nobody && counts[next] < quota[next] {
-				to = next
-			}
-			counts[owner]--
-		}
-		counts[to]++
-		moves = append(moves, Move{Slot: slot, From: owner, To: to})
+		moves = append(moves, pickEvenly(runs, taken, lack*own/surplus, i)...)
 	}
 	return moves
 }
 
-// level moves surplus slots of eligible places to those below their quota.
-func level(owners []int, places []Place, counts, quota []int) []Move {
+// pickEvenly takes runs from all over the key space until they have so many keys.
+func pickEvenly(runs []Run, taken map[int]bool, keys float64, to int) []Move {
 	var moves []Move
-	for slot := len(owners) - 1; slot >= 0; slot-- {
-		from := owners[slot]
-		if from == Nobody || !places[from].Eligible || counts[from] <= quota[from] {
-			continue
-		}
-		to := neediest(places, counts, quota)
-		if to == Nobody {
-			return moves
+	mean := 0.0
+	for _, run := range runs {
+		mean += float64(run.Span.Size()) / float64(len(runs))
+	}
+	step := max(1, int(float64(len(runs))*mean/max(keys, 1)))
+	for offset := range step {
+		for index := offset; index < len(runs); index += step {
+			size := float64(runs[index].Span.Size())
+			if taken[index] || size > keys+mean/2 {
+				continue
+			}
+			taken[index] = true
+			moves = append(moves, Move{Span: runs[index].Span, To: to})
+			if keys -= size; keys < mean/2 {
+				return moves
+			}
 		}
-		counts[from]--
-		counts[to]++
-		moves = append(moves, Move{Slot: slot, From: from, To: to})
 	}
 	return moves
 }
 
-// emptiest returns the eligible place that lacks the most slots; ties go to the lower index.
-func emptiest(counts, quota, eligible []int) int {
-	best := eligible[0]
-	for _, index := range eligible {
-		if quota[index]-counts[index] > quota[best]-counts[best] {
-			best = index
+// relieve gives load to the place that has least to do, if this one has much more than the mean.
+func relieve(self int, runs []Run, places []Place, capacityPlaces float64) []Move {
+	usable, mean := 0, 0.0
+	for _, p := range places {
+		if p.Capacity > 0 {
+			usable++
+			mean += p.Load
 		}
 	}
-	return best
+	if usable < 2 {
+		return nil
+	}
+	mean /= float64(usable)
+	own := places[self]
+	if own.Load < leastLoad*capacityPlaces || own.Load < (1+loadMargin)*mean {
+		return nil
+	}
+	byLoad := slices.Clone(runs)
+	slices.SortStableFunc(byLoad, func(a, b Run) int { return cmp.Compare(b.Load, a.Load) })
+	excess := own.Load - mean
+	loads := make([]float64, len(places))
+	for i, p := range places {
+		loads[i] = p.Load
+	}
+	var moves []Move
+	for _, run := range byLoad {
+		if excess < leastRelief || run.Load < leastRelief || len(moves) >= MaxRows {
+			break
+		}
+		to := lightest(places, loads, self)
+		gap := loads[self] - loads[to]
+		isUseful := run.Load <= 2*reliefShare*gap*0.75 && run.Load <= excess+leastRelief
+		if to == Nobody || !isUseful || places[to].Rows >= MaxRows {
+			continue
+		}
+		moves = append(moves, Move{Span: run.Span, To: to})
+		loads[self] -= run.Load
+		loads[to] += run.Load
+		excess -= run.Load
+	}
+	return moves
 }
 
-// neediest returns the place furthest below its quota, or Nobody.
-func neediest(places []Place, counts, quota []int) int {
+// lightest returns the place with the least load besides one.
+func lightest(places []Place, loads []float64, besides int) int {
 	best := Nobody
-	for index, place := range places {
-		lack := quota[index] - counts[index]
-		if !place.Eligible || lack <= 0 {
+	for i, p := range places {
+		if i == besides || p.Capacity == 0 {
 			continue
 		}
-		if best == Nobody || lack > quota[best]-counts[best] {
-			best = index
+		if best == Nobody || loads[i] < loads[best] {
+			best = i
 		}
 	}
 	return best
 }
-
-func eligibleIndexes(places []Place) []int {
-	var eligible []int
-	for index, place := range places {
-		if place.Eligible {
-			eligible = append(eligible, index)
-		}
-	}
-	return eligible
-}
