fix: a call reaches only the host that it was meant for; news stays in its failure domain; a stopping daemon refuses late calls

(3) Bytes between failure domains: each receiver told all others of each entry, and records were JSON rows. Watchers now tell their own domain, announcements go to one daemon of each other domain, rows are varints.

--- a/call/call.go
+++ b/call/call.go
@@ -46,6 +46,8 @@
 	TooLarge // too_large
 	// NotConfigured means that this daemon has no configuration yet.
 	NotConfigured // not_configured
+	// Closing means that this daemon is about to end.
+	Closing // closing
 	// NoServer means that no usable backend server is known.
 	NoServer // no_server
 	// NotOwner means that the asked daemon's backend server does not hold the key.
--- a/call/reason_string.go
+++ b/call/reason_string.go
@@ -13,21 +13,22 @@
 	_ = x[BadRequest-2]
 	_ = x[TooLarge-3]
 	_ = x[NotConfigured-4]
-	_ = x[NoServer-5]
-	_ = x[NotOwner-6]
-	_ = x[Overload-7]
-	_ = x[Late-8]
-	_ = x[Refused-9]
-	_ = x[Shed-10]
-	_ = x[Unreachable-11]
-	_ = x[AnswerLost-12]
-	_ = x[TimedOut-13]
-	_ = x[CallerGone-14]
+	_ = x[Closing-5]
+	_ = x[NoServer-6]
+	_ = x[NotOwner-7]
+	_ = x[Overload-8]
+	_ = x[Late-9]
+	_ = x[Refused-10]
+	_ = x[Shed-11]
+	_ = x[Unreachable-12]
+	_ = x[AnswerLost-13]
+	_ = x[TimedOut-14]
+	_ = x[CallerGone-15]
 }
 
-const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredno_servernot_owneroverloadlaterefusedshedunreachableanswer_losttimed_outcaller_gone"
+const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredclosingno_servernot_owneroverloadlaterefusedshedunreachableanswer_losttimed_outcaller_gone"
 
-var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 60, 69, 77, 81, 88, 92, 103, 114, 123, 134}
+var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 58, 67, 76, 84, 88, 95, 99, 110, 121, 130, 141}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/caller/entry.go
+++ b/caller/entry.go
@@ -39,6 +39,7 @@
 	finish  func(Finished)
 	config  atomic.Pointer[Config]
 	closing atomic.Bool
+	closed  atomic.Bool
 	active  atomic.Int64
 }
 
@@ -63,6 +64,9 @@
 // Close asks callers, with each answer, to use another daemon from now on.
 func (e *Entry) Close() { e.closing.Store(true) }
 
+// Refuse turns all further calls away: this daemon would end before their answers come.
+func (e *Entry) Refuse() { e.closed.Store(true) }
+
 // Active returns how many calls are being served.
 func (e *Entry) Active() int { return int(e.active.Load()) }
 
@@ -105,6 +109,9 @@
 	if config == nil {
 		return c, call.NotRun(call.NotConfigured), false
 	}
+	if e.closed.Load() {
+		return c, call.NotRun(call.Closing), false
+	}
 	found := config.Router.Match(r.Host, r.URL.EscapedPath())
 	if found == nil {
 		return c, call.NotRun(call.UnknownClass), false
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -77,7 +77,7 @@
 		layout:    layout,
 		self:      d.settings.Host,
 		service:   d.settings.Service,
-		board:     membership.NewBoard(),
+		board:     membership.NewBoard(isPassing),
 		table:     table,
 		relay:     relay,
 		budget:    budget,
@@ -218,7 +218,7 @@
 		case ownership.EndLease:
 			c.endLease(effect.Host)
 		case ownership.Adopted:
-			c.adopted(now, effect)
+			c.adopted(effect)
 		case ownership.Event:
 			c.observer.ownershipEvent(c.service, effect)
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -101,7 +101,7 @@
 		a.Host = string(s.self)
 		return a
 	}
-	return s.hops.Send(ctx, to.Hop, c)
+	return s.hops.Send(ctx, to.Host, to.Hop, c)
 }
 
 // part is one thing that runs as long as the daemon does.
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -68,7 +68,8 @@
 }
 
 func (d *Daemon) addHop(_ context.Context, group *run.Group) error {
-	handler := peer.HopHandler(d.runner, string(d.settings.Host), d.clock, func(err error) { d.observer.refused("hop", err) })
+	report := func(err error) { d.observer.refused("hop", err) }
+	handler := peer.HopHandler(d.runner, d.settings.Host, d.settings.Service, d.clock, report)
 	return d.serve(group, "hop", d.settings.Hop(), handler)
 }
 
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -123,7 +123,7 @@
 }
 
 // adopted spreads a newer record of this host's service.
-func (c *control) adopted(now ownership.Instant, a ownership.Adopted) {
+func (c *control) adopted(a ownership.Adopted) {
 	c.records[c.service] = a.Record
 	c.isDirty = true
 	data, err := a.Record.Encode()
@@ -133,6 +133,6 @@
 	}
 	entry := membership.Entry{Key: c.layout.Record(c.service), Version: membership.Version(a.Revision), Data: data}
 	if c.board.Offer(entry) {
-		c.tell(now, entry)
+		c.tell(entry)
 	}
 }
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/backend"
@@ -57,8 +58,9 @@
 }
 
 // knownHosts returns the registered hosts, and those whose presence the store has lost while they are still heard of.
+// Of several hosts with one address, the last that registered has it.
 func (c *control) knownHosts() []membership.Presence {
-	hosts := c.presences()
+	hosts := c.withoutReplaced(c.presences())
 	registered := map[ownership.HostID]bool{}
 	for _, p := range hosts {
 		registered[p.Host] = true
@@ -68,7 +70,9 @@
 		if registered[host] {
 			continue
 		}
-		if _, isHeard := c.spread.announcedAt[host]; isHeard {
+		_, isHeard := c.spread.announcedAt[host]
+		isReplaced := slices.ContainsFunc(hosts, func(h membership.Presence) bool { return h.Hop == p.Hop })
+		if isHeard && !isReplaced {
 			hosts = append(hosts, p)
 		} else {
 			delete(c.spread.lastPresence, host)
@@ -77,6 +81,17 @@
 	return hosts
 }
 
+// withoutReplaced leaves out hosts whose address has gone to another one.
+func (c *control) withoutReplaced(hosts []membership.Presence) []membership.Presence {
+	newest := map[string]membership.Version{}
+	for _, p := range hosts {
+		newest[p.Hop] = max(newest[p.Hop], c.board.Get(c.layout.Presence(p.Host)).Version)
+	}
+	return slices.DeleteFunc(hosts, func(p membership.Presence) bool {
+		return c.board.Get(c.layout.Presence(p.Host)).Version < newest[p.Hop]
+	})
+}
+
 // announcementOf returns a host's newest announcement and whether it is fresh.
 func (c *control) announcementOf(now ownership.Instant, host ownership.HostID) (membership.Announcement, bool) {
 	e := c.board.Get(announcePrefix + string(host))
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// smallMesh is up to how many peers are all told of news; among more, fanout random ones.
+	// smallMesh is up to how many daemons of a failure domain are all told of news; among more, fanout random ones that
+	// pass it on.
 	smallMesh = 16
 	fanout    = 5
 	// watchersPerDomain is how many daemons of each failure domain watch the store.
@@ -69,7 +70,15 @@
 		return
 	}
 	c.apply(now, e)
-	c.tell(now, e)
+}
+
+// learn takes in an entry that this daemon brings into its failure domain, and passes it on if it was news.
+func (c *control) learn(now ownership.Instant, e membership.Entry) {
+	before := c.board.Get(e.Key).Version
+	c.accept(now, e)
+	if c.board.Get(e.Key).Version > before {
+		c.tell(e)
+	}
 }
 
 // understands tells whether an entry is one of this system's and can be read.
@@ -158,20 +167,57 @@
 		c.log.Error("presence not spread", "error", err)
 		return
 	}
-	c.accept(now, membership.Entry{
+	c.learn(now, membership.Entry{
 		Key:     c.layout.Presence(c.self),
 		Version: membership.Version(r.Revision),
 		Data:    data,
 	})
 }
 
-// tell passes an entry on to other daemons.
-func (c *control) tell(_ ownership.Instant, e membership.Entry) {
-	for _, address := range c.somePeers(fanout) {
-		c.pool.Push(address, []membership.Entry{e})
+// tell passes an entry on in this failure domain. What is not in the store goes to one daemon of each other domain too:
+// each domain has watchers of its own for the rest.
+func (c *control) tell(e membership.Entry) {
+	entries := []membership.Entry{e}
+	near, far := c.neighbours()
+	isRelayed := len(near) > smallMesh
+	if isRelayed {
+		c.shuffle(near)
+		near = near[:fanout]
+	}
+	for _, address := range near {
+		c.pool.Push(address, entries, isRelayed)
+	}
+	if !isPassing(e.Key) {
+		return
+	}
+	for _, addresses := range far {
+		c.pool.Push(addresses[c.random.IntN(len(addresses))], entries, true)
 	}
 }
 
+// isPassing tells whether a value is told again and again by its owner and is not in the store.
+func isPassing(key string) bool { return strings.HasPrefix(key, announcePrefix) }
+
+// neighbours returns the control addresses of the other daemons of this failure domain, and those of the others.
+func (c *control) neighbours() ([]string, map[ownership.Domain][]string) {
+	var near []string
+	far := map[ownership.Domain][]string{}
+	for _, p := range c.knownHosts() {
+		switch {
+		case p.Host == c.self:
+		case p.Domain == c.daemon.settings.FailureDomain:
+			near = append(near, p.Control)
+		default:
+			far[p.Domain] = append(far[p.Domain], p.Control)
+		}
+	}
+	return near, far
+}
+
+func (c *control) shuffle(addresses []string) {
+	c.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+}
+
 // peerControls returns the control addresses of all other known hosts. It may be called from any goroutine.
 func (c *control) peerControls() []string {
 	var addresses []string
@@ -187,16 +233,6 @@
 	return addresses
 }
 
-// somePeers returns the control addresses of all others in a small mesh, and of some random ones in a large one.
-func (c *control) somePeers(count int) []string {
-	addresses := c.peerControls()
-	if len(addresses) <= smallMesh && count > 1 {
-		return addresses
-	}
-	c.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(count, len(addresses))]
-}
-
 // spreadTick announces and repairs.
 func (c *control) spreadTick(now ownership.Instant) {
 	if now >= c.spread.announceAt {
@@ -204,8 +240,8 @@
 	}
 	if now >= c.spread.repairAt {
 		c.spread.repairAt = now.Add(repairInterval)
-		for _, address := range c.somePeers(1) {
-			c.pool.Digest(address, c.board.Digest())
+		if peers := c.peerControls(); len(peers) > 0 {
+			c.pool.Digest(peers[c.random.IntN(len(peers))], c.board.Digest())
 		}
 	}
 	for host, at := range c.spread.announcedAt {
@@ -235,7 +271,7 @@
 		c.log.Error("announcement not sent", "error", err)
 		return
 	}
-	c.accept(now, membership.Entry{
+	c.learn(now, membership.Entry{
 		Key:     announcePrefix + string(c.self),
 		Version: membership.AnnouncementVersion(c.epoch, c.spread.count),
 		Data:    data,
@@ -249,12 +285,16 @@
 type gossip struct{ control *control }
 
 // Push implements peer.Handler.
-func (g gossip) Push(_ string, entries []membership.Entry) {
+func (g gossip) Push(_ string, entries []membership.Entry, relay bool) {
 	c := g.control
 	c.post(c.ctx, func(now ownership.Instant) {
 		c.heard(now)
+		take := c.accept
+		if relay {
+			take = c.learn
+		}
 		for _, e := range entries {
-			c.accept(now, e)
+			take(now, e)
 		}
 		c.settle(now)
 	})
@@ -298,7 +338,7 @@
 		}
 		return func(now ownership.Instant) {
 			for _, e := range entries {
-				c.accept(now, e)
+				c.learn(now, e)
 			}
 			c.settle(now)
 		}
@@ -344,7 +384,7 @@
 
 func (c *control) acceptAll(now ownership.Instant, items []store.Item) {
 	for _, item := range items {
-		c.accept(now, membership.Entry{
+		c.learn(now, membership.Entry{
 			Key:       item.Key,
 			Version:   membership.Version(item.Revision),
 			Data:      item.Value,
@@ -362,7 +402,7 @@
 	for _, e := range c.board.Under(c.layout.Prefix) {
 		isOlder := e.Version < membership.Version(read.Revision)
 		if !found[e.Key] && isOlder {
-			c.accept(now, membership.Entry{Key: e.Key, Version: membership.Version(read.Revision), IsDeleted: true})
+			c.learn(now, membership.Entry{Key: e.Key, Version: membership.Version(read.Revision), IsDeleted: true})
 		}
 	}
 }
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -64,7 +64,10 @@
 		if d.entry.Active() > 0 || d.runner.Running() > 0 {
 			quietSince = now
 		}
-		isQuiet := now.Sub(quietSince) >= quietTime && now.Sub(start) >= callersLeave
+		if now.Sub(start) >= callersLeave {
+			d.entry.Refuse()
+		}
+		isQuiet := now.Sub(quietSince) >= quietTime && now.Sub(start) >= callersLeave+quietTime
 		if isQuiet && d.control.hasGivenAway(ctx) || now.Sub(start) >= d.settings.Stop.GraceTime-stopMargin {
 			d.control.signOff()
 			return &stoppedError{reason: "drained"}
--- a/membership/board.go
+++ b/membership/board.go
@@ -31,13 +31,18 @@
 
 // Board holds the newest known state of each shared value. It is safe for concurrent use.
 type Board struct {
+	isPassing func(key string) bool
+
 	mu      sync.RWMutex
 	entries map[string]Entry
 	digest  Digest
 }
 
-// NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{entries: map[string]Entry{}} }
+// NewBoard returns an empty board. Passing values are told again and again by their owners, so digests and comparisons
+// leave them out.
+func NewBoard(isPassing func(key string) bool) *Board {
+	return &Board{isPassing: isPassing, entries: map[string]Entry{}}
+}
 
 // Offer takes in an entry and tells whether it was newer than the known one.
 func (b *Board) Offer(e Entry) bool {
@@ -47,8 +52,10 @@
 	if e.Version <= known.Version {
 		return false
 	}
-	// The digest is a sum, so that one changed value costs the same whatever the number of values.
-	b.digest += sum(e.Key, e.Version) - sum(e.Key, known.Version)
+	if !b.isPassing(e.Key) {
+		// The digest is a sum, so that one changed value costs the same whatever the number of values.
+		b.digest += sum(e.Key, e.Version) - sum(e.Key, known.Version)
+	}
 	b.entries[e.Key] = e
 	return true
 }
@@ -81,31 +88,33 @@
 	return found
 }
 
-// Digest returns the sum of all versions.
+// Digest returns the sum of the versions of all lasting values.
 func (b *Board) Digest() Digest {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	return b.digest
 }
 
-// Versions returns the version of each known entry.
+// Versions returns the version of each lasting value.
 func (b *Board) Versions() Versions {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	versions := make(Versions, len(b.entries))
 	for key, e := range b.entries {
-		versions[key] = e.Version
+		if !b.isPassing(key) {
+			versions[key] = e.Version
+		}
 	}
 	return versions
 }
 
-// Newer returns the entries that are newer than some versions, in order of their keys.
+// Newer returns the lasting values that are newer than some versions, in order of their keys.
 func (b *Board) Newer(than Versions) []Entry {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	var found []Entry
 	for _, key := range slices.Sorted(maps.Keys(b.entries)) {
-		if e := b.entries[key]; e.Version > than[key] {
+		if e := b.entries[key]; e.Version > than[key] && !b.isPassing(key) {
 			found = append(found, e)
 		}
 	}
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 
@@ -8,7 +9,7 @@
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 )
 
-// RecordFormat is the version of the record's format. Daemons refuse records of a later one.
+// RecordFormat is the version of the record's format. Daemons refuse records of another one.
 const RecordFormat = 2
 
 // Nobody is the index of no member.
@@ -118,25 +119,29 @@
 
 func (e *RecordError) Error() string { return "ownership record: " + e.Reason }
 
-// wireRecord is the record in the store. Rows are first key, owner, fence and, if there is one, the handover.
+// wireRecord is the record in the store.
 type wireRecord struct {
-	Format     int               `json:"format"`
-	Service    class.Service     `json:"service"`
-	Generation Fence             `json:"generation"`
-	Members    []Member          `json:"members"`
-	Rows       []json.RawMessage `json:"rows"`
-	Nonce      string            `json:"nonce"`
+	Format     int           `json:"format"`
+	Service    class.Service `json:"service"`
+	Generation Fence         `json:"generation"`
+	Members    []Member      `json:"members"`
+	// Rows holds, for each run of keys, unsigned varints: the distance of its first key from the last run's, the owner
+	// plus one, the age of the fence in generations, and the length of the handover, which follows.
+	Rows  []byte `json:"rows"`
+	Nonce string `json:"nonce"`
 }
 
 // Encode writes the record.
 func (r *Record) Encode() ([]byte, error) {
 	wire := wireRecord{Format: RecordFormat, Service: r.Service, Generation: r.Generation, Members: r.Members, Nonce: r.Nonce}
+	last := class.Key(0)
 	for span, a := range r.Keys.Runs() {
-		row := fmt.Appendf(nil, "[%d,%d,%d]", span.From, a.Owner, a.Fence)
-		if a.Handover != "" {
-			row = fmt.Appendf(nil, "[%d,%d,%d,%q]", span.From, a.Owner, a.Fence, a.Handover)
-		}
-		wire.Rows = append(wire.Rows, row)
+		wire.Rows = binary.AppendUvarint(wire.Rows, uint64(span.From-last))
+		wire.Rows = binary.AppendUvarint(wire.Rows, uint64(a.Owner+1))
+		wire.Rows = binary.AppendUvarint(wire.Rows, uint64(r.Generation-a.Fence))
+		wire.Rows = binary.AppendUvarint(wire.Rows, uint64(len(a.Handover)))
+		wire.Rows = append(wire.Rows, a.Handover...)
+		last = span.From
 	}
 	return json.Marshal(wire)
 }
@@ -147,15 +152,16 @@
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return nil, &RecordError{Reason: err.Error()}
 	}
-	if wire.Format > RecordFormat {
-		return nil, &RecordError{Reason: fmt.Sprintf("format %d is newer than %d", wire.Format, RecordFormat)}
+	if wire.Format != RecordFormat {
+		return nil, &RecordError{Reason: fmt.Sprintf("format %d is not %d", wire.Format, RecordFormat)}
 	}
 	if wire.Service == "" || len(wire.Rows) == 0 {
 		return nil, &RecordError{Reason: "service or rows are missing"}
 	}
 	r := &Record{Service: wire.Service, Generation: wire.Generation, Members: wire.Members, Nonce: wire.Nonce}
-	for _, raw := range wire.Rows {
-		from, a, err := decodeRow(raw, len(wire.Members))
+	rows := rowReader{rest: wire.Rows, generation: wire.Generation, members: len(wire.Members)}
+	for len(rows.rest) > 0 {
+		from, a, err := rows.next()
 		if err != nil {
 			return nil, err
 		}
@@ -164,15 +170,31 @@
 	return r, nil
 }
 
-func decodeRow(raw json.RawMessage, members int) (class.Key, Assignment, error) {
-	var a Assignment
-	var from class.Key
-	fields := []any{&from, &a.Owner, &a.Fence, &a.Handover}
-	if err := json.Unmarshal(raw, &fields); err != nil {
-		return 0, a, &RecordError{Reason: "row " + string(raw) + ": " + err.Error()}
+// rowReader reads the rows of a record.
+type rowReader struct {
+	rest       []byte
+	last       uint64
+	generation Fence
+	members    int
+}
+
+func (r *rowReader) next() (class.Key, Assignment, error) {
+	var fields [4]uint64
+	for i := range fields {
+		value, n := binary.Uvarint(r.rest)
+		if n <= 0 {
+			return 0, Assignment{}, &RecordError{Reason: "a row is cut short"}
+		}
+		fields[i] = value
+		r.rest = r.rest[n:]
 	}
-	if a.Owner < Nobody || a.Owner >= members {
-		return 0, a, &RecordError{Reason: "row " + string(raw) + ": no such member"}
+	r.last += fields[0]
+	age, length := Fence(fields[2]), fields[3]
+	isSound := r.last < class.KeyCount && fields[1] <= uint64(r.members) && age <= r.generation && length <= uint64(len(r.rest))
+	if !isSound {
+		return 0, Assignment{}, &RecordError{Reason: fmt.Sprintf("the row of key %d is out of range", r.last)}
 	}
-	return from, a, nil
+	a := Assignment{Owner: int(fields[1]) - 1, Fence: r.generation - age, Handover: Handover(r.rest[:length])}
+	r.rest = r.rest[length:]
+	return class.Key(r.last), a, nil
 }
--- a/peer/control.go
+++ b/peer/control.go
@@ -45,6 +45,8 @@
 type push struct {
 	From    string             `json:"from"`
 	Entries []membership.Entry `json:"entries"`
+	// Relay asks the receiver to tell the other daemons of its failure domain.
+	Relay bool `json:"relay,omitempty"`
 }
 
 // outgoing is one notification on its way.
@@ -79,9 +81,9 @@
 // Wait returns when all senders have ended, after the context has.
 func (p *Pool) Wait() { p.group.Wait() }
 
-// Push sends entries to a peer.
-func (p *Pool) Push(to string, entries []membership.Entry) {
-	p.notify(to, methodPush, push{From: p.from, Entries: entries})
+// Push sends entries to a peer, which passes them on in its failure domain if it is asked to relay.
+func (p *Pool) Push(to string, entries []membership.Entry, relay bool) {
+	p.notify(to, methodPush, push{From: p.from, Entries: entries, Relay: relay})
 }
 
 // Digest tells a peer the sum of all that is known here.
@@ -230,7 +232,7 @@
 // Handler takes the messages of other daemons. Its methods are called from many goroutines.
 type Handler interface {
 	// Push takes in entries that may be new.
-	Push(from string, entries []membership.Entry)
+	Push(from string, entries []membership.Entry, relay bool)
 	// Digest compares what a peer knows.
 	Digest(d Digest)
 	// Newer returns what is known better here.
@@ -272,7 +274,7 @@
 	switch request.Method {
 	case methodPush:
 		if p, ok := decode[push](r, request); ok {
-			r.handler.Push(p.From, p.Entries)
+			r.handler.Push(p.From, p.Entries, p.Relay)
 		}
 	case methodDigest:
 		if d, ok := decode[Digest](r, request); ok {
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/link"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
 )
 
 // Headers between daemons, besides those of the request itself.
@@ -32,6 +33,8 @@
 	loadHeader     = "Skylark-Hop-Load"
 	waitHeader     = "Skylark-Hop-Retry-Us"
 	answererHeader = "Skylark-Hop-Host"
+	// targetHeader names the host that a call is for: its address may have gone to another one.
+	targetHeader = "Skylark-Hop-To"
 )
 
 const (
@@ -109,8 +112,8 @@
 	}
 }
 
-// Send forwards a call to the daemon at an address and returns its answer, or what is known of it.
-func (h *HopClient) Send(ctx context.Context, address string, c call.Call) call.Answer {
+// Send forwards a call to the daemon of a host, at an address, and returns its answer, or what is known of it.
+func (h *HopClient) Send(ctx context.Context, host ownership.HostID, address string, c call.Call) call.Answer {
 	left := c.Deadline.Sub(h.clock.Now())
 	if left <= 0 {
 		return call.NotRun(call.Late)
@@ -120,6 +123,7 @@
 	header.Set(classHeader, string(c.Class.Name))
 	header.Set(serviceHeader, string(c.Service))
 	header.Set(originHeader, string(c.Origin))
+	header.Set(targetHeader, string(host))
 	header.Set(leftHeader, strconv.FormatInt(left.Microseconds(), 10))
 	header.Set(classSpec, fmt.Sprintf(specFormat, c.Class.Latency.Microseconds(), c.Class.Rank, c.Class.Idempotent))
 	if c.HasKey {
@@ -159,16 +163,21 @@
 }
 
 // HopHandler serves forwarded calls. Broken ones are reported and answered as not run.
-func HopHandler(owner Owner, host string, clock clockwork.Clock, report func(error)) http.Handler {
+func HopHandler(owner Owner, host ownership.HostID, service class.Service, clock clockwork.Clock, report func(error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, err := readCall(w, r, clock)
-		answer := call.NotRun(call.BadRequest)
-		if err == nil {
-			answer = owner.Run(r.Context(), c)
-		} else {
+		isForeign := r.Header.Get(targetHeader) != string(host) || c.Service != service
+		var answer call.Answer
+		switch {
+		case err != nil:
 			report(err)
+			answer = call.NotRun(call.BadRequest)
+		case isForeign:
+			answer = call.NotRun(call.NotOwner)
+		default:
+			answer = owner.Run(r.Context(), c)
 		}
-		answer.Host = host
+		answer.Host = string(host)
 		if err := writeAnswer(w, r.Header.Get(requestHeader), answer); err != nil && r.Context().Err() == nil {
 			report(&MessageError{Part: "answer", Cause: err.Error()})
 		}
