--- a/keyspace/keyspace.go
+++ b/keyspace/keyspace.go
@@ -89,7 +89,7 @@
 	m.runs = kept
 }
 
-// Runs returns the runs in the order of their keys, those with the zero value too.
+// Runs returns the runs in the order of their keys, those with the zero value too. The map must not change meanwhile.
 func (m *Map[T]) Runs() iter.Seq2[Span, T] {
 	return func(yield func(Span, T) bool) {
 		var zero T
@@ -114,7 +114,7 @@
 	}
 }
 
-// Within returns the parts of the runs that lie in a span.
+// Within returns the parts of the runs that lie in a span. The map must not change meanwhile.
 func (m *Map[T]) Within(span Span) iter.Seq2[Span, T] {
 	return func(yield func(Span, T) bool) {
 		index, found := m.find(span.From)
--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -62,9 +62,10 @@
 	}
 	grants := m.grants(self)
 	until := now.Add(stretch(hold))
+	before := m.held.Clone()
 	m.served.Clear()
 	for _, g := range grants {
-		for span, h := range m.held.Within(g.Span) {
+		for span, h := range before.Within(g.Span) {
 			m.held.Set(span, held{until: max(h.until, until), fence: max(h.fence, g.Fence)})
 		}
 		m.handovers.Set(g.Span, "")
--- /dev/null
+++ b/ownership/world_test.go
@@ -0,0 +1,687 @@
+package ownership_test
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/membership"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/store"
+)
+
+// flaw is a wrong variant of the rules. Each is made at the edge of the machine, so that the machine has no switches.
+type flaw int
+
+const (
+	none flaw = iota
+	noWait
+	leaseNotEnded
+	noLostEpoch
+	noFreshRead
+	noOwnEpoch
+	authorityFromAnswer
+	restartGivesAtOnce
+	undecidedForgotten
+	steadyClock
+	holdBeyondAuthority
+	leaseForEachAttempt
+	fenceNotRaised
+	flaws
+)
+
+var flawNames = [flaws]string{
+	"none", "no wait", "lease not ended", "lost epoch not in the condition", "registered without reading",
+	"own epoch not in the condition", "authority from the answer", "restarted daemon gives at once",
+	"undecided write forgotten", "steady clock", "hold beyond authority", "a lease for each attempt", "fence not raised",
+}
+
+// Times of the world, a tenth of the real ones.
+const (
+	beatInterval = 100 * time.Millisecond
+	worldTick    = 10 * time.Millisecond
+	worldLength  = 12 * time.Second
+	hostCount    = 3
+	clockSkew    = 0.02
+)
+
+func worldTiming() ownership.Timing {
+	return ownership.Timing{
+		Authority:     800 * time.Millisecond,
+		Hold:          300 * time.Millisecond,
+		Settle:        70 * time.Millisecond,
+		AbsenceGrace:  220 * time.Millisecond,
+		Stagger:       60 * time.Millisecond,
+		LevelInterval: 40 * time.Millisecond,
+		MoveTime:      600 * time.Millisecond,
+		Retry:         6 * time.Millisecond,
+	}
+}
+
+// happening is something at a moment of virtual time.
+type happening struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+
+func (a agenda) Less(i, j int) bool {
+	if a[i].at == a[j].at {
+		return a[i].order < a[j].order
+	}
+	return a[i].at < a[j].at
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
+
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// grip is what a server holds of a key.
+type grip struct {
+	until time.Duration
+	fence ownership.Fence
+	// isOver marks keys that were released and are still worked on.
+	isOver bool
+}
+
+// worldServer is a backend server that obeys its orders.
+type worldServer struct {
+	instance ownership.Instance
+	isUp     bool
+	sequence uint64
+	holds    keyspace.Map[grip]
+	seen     keyspace.Map[ownership.Fence]
+	released []ownership.Release
+	rate     float64
+}
+
+// worldHost is one host with its daemon.
+type worldHost struct {
+	id       ownership.HostID
+	isUp     bool
+	life     int
+	wakeAt   time.Duration
+	skipped  time.Duration
+	cutUntil time.Duration
+	rate     float64
+
+	machine   *ownership.Machine
+	registrar *membership.Registrar
+	epoch     ownership.Epoch
+	server    worldServer
+}
+
+// world is three hosts, a store and everything that can go wrong between them.
+type world struct {
+	random *rand.Rand
+	flaw   flaw
+	now    time.Duration
+	clock  *clockwork.FakeClock
+	store  *store.Memory
+	layout ownership.Layout
+	hosts  [hostCount]*worldHost
+	agenda agenda
+	order  int
+
+	storeDownUntil time.Duration
+	lives          int64
+	// lastHolder and lastFence are who held each key last, and under which fence.
+	lastHolder keyspace.Map[ownership.Instance]
+	lastFence  keyspace.Map[ownership.Fence]
+	failure    string
+	takeovers  int
+	moves      int
+	faultsOff  bool
+}
+
+func newWorld(seed uint64, f flaw) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 11)),
+		flaw:   f,
+		clock:  clockwork.NewFakeClock(),
+		layout: ownership.Layout{Prefix: "w/"},
+	}
+	w.store = store.NewMemory(w.clock)
+	for i := range w.hosts {
+		h := &worldHost{id: ownership.HostID(fmt.Sprintf("h%d", i)), rate: w.skew()}
+		h.server.rate = w.skew()
+		w.hosts[i] = h
+		w.startServer(h)
+		w.startDaemon(h)
+		w.every(h, worldTick, func() { w.tick(h) })
+		w.beatLoop(h)
+	}
+	w.faultLoop()
+	return w
+}
+
+func (w *world) skew() float64 { return 1 - clockSkew + 2*clockSkew*w.random.Float64() }
+
+// run plays until the end or the first broken promise.
+func (w *world) run() {
+	for len(w.agenda) > 0 && w.failure == "" {
+		next := heap.Pop(&w.agenda).(happening)
+		if next.at > worldLength {
+			return
+		}
+		if next.at > w.now {
+			w.clock.Advance(next.at - w.now)
+			w.now = next.at
+		}
+		next.do()
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.agenda, happening{at: w.now + d, order: w.order, do: do})
+}
+
+func (w *world) every(h *worldHost, d time.Duration, do func()) {
+	w.after(d+time.Duration(w.random.Int64N(int64(d/2))), func() {
+		if h.isUp && w.now >= h.wakeAt {
+			do()
+		}
+		w.every(h, d, do)
+	})
+}
+
+// instant is what a host's clock since boot shows.
+func (w *world) instant(h *worldHost) ownership.Instant {
+	elapsed := w.now
+	if w.flaw == steadyClock {
+		elapsed -= h.skipped
+	}
+	return ownership.Instant(time.Hour) + ownership.Instant(float64(elapsed)*h.rate)
+}
+
+func (w *world) startDaemon(h *worldHost) {
+	h.life++
+	h.isUp = true
+	h.epoch = 0
+	now := w.instant(h)
+	if w.flaw == restartGivesAtOnce {
+		now = now.Add(-time.Second)
+	}
+	h.machine = ownership.NewMachine(now, h.id, "s", w.layout, worldTiming(), w.random)
+	presence := membership.Presence{Host: h.id, Service: "s"}
+	h.registrar = membership.NewRegistrar(presence, w.layout, membership.Timing{
+		LeaseTTL: 350 * time.Millisecond, RenewInterval: 100 * time.Millisecond, Retry: 15 * time.Millisecond,
+	})
+}
+
+func (w *world) startServer(h *worldHost) {
+	w.lives++
+	h.server = worldServer{
+		instance: ownership.Instance{ID: fmt.Sprintf("i%d", w.random.IntN(2)), Born: w.lives},
+		isUp:     true,
+		rate:     h.server.rate,
+	}
+}
+
+// call makes a call to the store: it may never arrive, arrive late, and its answer may be lost. The calls of one
+// daemon that are lost are answered as lost, after a time-out.
+func (w *world) call(h *worldHost, do func() error, done func(err error)) {
+	life := h.life
+	settled := false
+	settle := func(err error) {
+		w.onDaemon(h, life, func() {
+			if !settled {
+				settled = true
+				done(err)
+			}
+		})
+	}
+	lost := &store.LostError{Call: "call", Cause: context.DeadlineExceeded}
+	w.after(70*time.Millisecond, func() { settle(lost) })
+	w.after(w.delay(), func() {
+		if w.now < w.storeDownUntil || w.now < h.cutUntil {
+			if w.random.IntN(2) == 0 {
+				w.after(w.delay(), func() { settle(&store.RejectedError{Call: "call", Cause: "down"}) })
+			}
+			return
+		}
+		err := do()
+		if w.random.IntN(12) == 0 && !w.faultsOff {
+			return // the answer is lost
+		}
+		w.after(w.delay(), func() { settle(err) })
+	})
+}
+
+func (w *world) delay() time.Duration {
+	if w.faultsOff {
+		return time.Millisecond
+	}
+	switch n := w.random.IntN(20); {
+	case n == 0:
+		return 10*time.Millisecond + time.Duration(w.random.Int64N(int64(400*time.Millisecond)))
+	case n < 4:
+		return time.Duration(w.random.Int64N(int64(60 * time.Millisecond)))
+	default:
+		return time.Duration(w.random.Int64N(int64(2 * time.Millisecond)))
+	}
+}
+
+// onDaemon does something at a daemon, once it is awake, if it is still the same life of it.
+func (w *world) onDaemon(h *worldHost, life int, do func()) {
+	if !h.isUp || h.life != life {
+		return
+	}
+	if w.now < h.wakeAt {
+		w.after(h.wakeAt-w.now, func() { w.onDaemon(h, life, do) })
+		return
+	}
+	do()
+}
+
+func (w *world) tick(h *worldHost) {
+	now := w.instant(h)
+	w.registration(h, h.registrar.Tick(now))
+	w.effects(h, h.machine.SetPeers(now, w.peers()))
+	w.effects(h, h.machine.Tick(now))
+	// News of the record spreads late, or not at all.
+	other := w.hosts[w.random.IntN(hostCount)]
+	if record, revision := other.machine.Known(); record != nil && w.random.IntN(3) > 0 {
+		w.effects(h, h.machine.Learn(now, record, revision))
+	}
+	if item, err := w.store.Get(context.Background(), w.layout.Presence(h.id)); err == nil && item.Revision == 0 && w.random.IntN(4) == 0 {
+		w.registration(h, h.registrar.PresenceGone(now, 1<<62))
+	}
+}
+
+// peers is what all hosts believe of each other: at times somebody who lives is missed.
+func (w *world) peers() []ownership.Peer {
+	var peers []ownership.Peer
+	for _, h := range w.hosts {
+		item, err := w.store.Get(context.Background(), w.layout.Presence(h.id))
+		peers = append(peers, ownership.Peer{
+			Host:       h.id,
+			IsPresent:  err == nil && item.Revision != 0 && (w.faultsOff || w.random.IntN(50) > 0),
+			IsEligible: h.server.isUp,
+			Instance:   h.server.instance,
+			Places:     4,
+			Load:       4 * w.random.Float64(),
+		})
+	}
+	return peers
+}
+
+func (w *world) registration(h *worldHost, effects []membership.Effect) {
+	ctx := context.Background()
+	for _, e := range effects {
+		switch effect := e.(type) {
+		case membership.ReadEpoch:
+			var item store.Item
+			w.call(h, func() (err error) { item, err = w.store.Get(ctx, effect.Key); return err }, func(err error) {
+				w.registration(h, h.registrar.EpochRead(w.instant(h), item, err))
+			})
+		case membership.GrantLease:
+			var lease store.LeaseID
+			w.call(h, func() (err error) { lease, err = w.store.Grant(ctx, 350*time.Millisecond); return err }, func(err error) {
+				w.registration(h, h.registrar.Granted(w.instant(h), lease, err))
+			})
+		case membership.Register:
+			var revision store.Revision
+			w.call(h, func() (err error) { revision, err = w.store.Commit(ctx, effect.Txn); return err }, func(err error) {
+				if _, isLost := err.(*store.LostError); isLost && w.flaw == leaseForEachAttempt {
+					err = &store.LeaseEndedError{}
+				}
+				w.registration(h, h.registrar.RegisterDone(w.instant(h), w.sentAt(h, effect.SentAt), revision, err))
+			})
+		case membership.RenewLease:
+			w.call(h, func() error { return w.store.Renew(ctx, effect.Lease) }, func(err error) {
+				w.registration(h, h.registrar.RenewDone(w.instant(h), w.sentAt(h, effect.SentAt), effect.Lease, err))
+			})
+		case membership.Registered:
+			h.epoch = effect.Epoch
+			w.effects(h, h.machine.Registered(w.instant(h), effect.SentAt, effect.Epoch, effect.Revision))
+		case membership.Renewed:
+			w.effects(h, h.machine.Renewed(w.instant(h), effect.SentAt))
+		case membership.Unregistered:
+			h.machine.Unregistered()
+		}
+	}
+}
+
+func (w *world) sentAt(h *worldHost, at ownership.Instant) ownership.Instant {
+	if w.flaw == authorityFromAnswer {
+		return w.instant(h)
+	}
+	return at
+}
+
+func (w *world) effects(h *worldHost, effects []ownership.Effect) {
+	for _, e := range effects {
+		switch effect := e.(type) {
+		case ownership.ReadRecord:
+			w.read(h)
+		case ownership.WriteRecord:
+			w.write(h, effect.Txn)
+		case ownership.EndLease:
+			w.endLease(h, effect.Host)
+		case ownership.Event:
+			switch effect.Kind {
+			case ownership.EventTookOver:
+				w.takeovers++
+			case ownership.EventMoved:
+				w.moves++
+			default:
+			}
+		}
+	}
+}
+
+func (w *world) read(h *worldHost) {
+	epoch := h.epoch
+	if w.flaw == noFreshRead {
+		record, revision := h.machine.Known()
+		w.effects(h, h.machine.ReadDone(w.instant(h), epoch, record, revision, true))
+		return
+	}
+	var item store.Item
+	w.call(h, func() (err error) { item, err = w.store.Get(context.Background(), w.layout.Record("s")); return err }, func(err error) {
+		w.effects(h, h.machine.ReadDone(w.instant(h), epoch, decode(item), item.Revision, err == nil))
+	})
+}
+
+func decode(item store.Item) *ownership.Record {
+	if item.Revision == 0 {
+		return nil
+	}
+	record, err := ownership.Decode(item.Value)
+	if err != nil {
+		panic(err)
+	}
+	return record
+}
+
+func (w *world) write(h *worldHost, txn store.Txn) {
+	txn = w.spoil(h, txn)
+	var revision store.Revision
+	do := func() (err error) { revision, err = w.store.Commit(context.Background(), txn); return err }
+	w.call(h, do, func(err error) {
+		result := ownership.WriteResult{Fate: ownership.WriteLanded, Revision: revision}
+		switch failure := err.(type) {
+		case nil:
+		case *store.ConflictError:
+			result.Fate = ownership.WriteConflict
+			result.Record, result.RecordRevision = decode(failure.Current[0]), failure.Current[0].Revision
+		case *store.RejectedError:
+			result.Fate = ownership.WriteRejected
+		default:
+			result.Fate = ownership.WriteLost
+			if w.flaw == undecidedForgotten {
+				result.Fate = ownership.WriteConflict
+			}
+		}
+		w.effects(h, h.machine.WriteDone(w.instant(h), result))
+	})
+}
+
+// spoil leaves out conditions, or raised fences.
+func (w *world) spoil(h *worldHost, txn store.Txn) store.Txn {
+	switch w.flaw {
+	case noLostEpoch:
+		kept := txn.Conditions[:2:2]
+		for _, c := range txn.Conditions[2:] {
+			if c.Revision == 0 {
+				kept = append(kept, c)
+			}
+		}
+		txn.Conditions = kept
+	case noOwnEpoch:
+		kept := txn.Conditions[:1:1]
+		txn.Conditions = append(kept, txn.Conditions[2:]...)
+	case fenceNotRaised:
+		before, _ := h.machine.Known()
+		record := decode(store.Item{Revision: 1, Value: txn.Puts[0].Value})
+		if before == nil {
+			return txn
+		}
+		raised := record.Keys.Clone()
+		for span, a := range raised.Runs() {
+			a.Fence = before.Keys.At(span.From).Fence
+			record.Keys.Set(span, a)
+		}
+		data, err := record.Encode()
+		if err != nil {
+			panic(err)
+		}
+		txn.Puts = []store.Put{{Key: txn.Puts[0].Key, Value: data}}
+	default:
+	}
+	return txn
+}
+
+func (w *world) endLease(h *worldHost, lost ownership.HostID) {
+	ctx := context.Background()
+	var item store.Item
+	fail := func() { w.effects(h, h.machine.LeaseEnded(w.instant(h), lost, 0, false)) }
+	w.call(h, func() (err error) { item, err = w.store.Get(ctx, w.layout.Epoch(lost)); return err }, func(err error) {
+		if err != nil {
+			fail()
+			return
+		}
+		isSuspicion := w.random.IntN(5) == 0 // somebody who lives is taken over from
+		w.call(h, func() error {
+			presence, err := w.store.Get(ctx, w.layout.Presence(lost))
+			if err == nil && presence.Revision != 0 && !isSuspicion {
+				return &store.ConflictError{}
+			}
+			_, lease, err := membership.DecodeEpoch(item.Value)
+			if err != nil || w.flaw == leaseNotEnded {
+				return err
+			}
+			return w.store.Revoke(ctx, lease)
+		}, func(err error) {
+			if err != nil {
+				fail()
+				return
+			}
+			now := w.instant(h)
+			if w.flaw == noWait {
+				now = now.Add(-time.Second)
+			}
+			w.effects(h, h.machine.LeaseEnded(now, lost, item.Revision, true))
+		})
+	})
+}
+
+// beatLoop sends the server's heartbeats, one after the other.
+func (w *world) beatLoop(h *worldHost) {
+	pause := beatInterval
+	for _, g := range h.server.holds.Runs() {
+		if g.isOver {
+			pause = beatInterval / 10
+		}
+	}
+	w.after(pause+time.Duration(w.random.Int64N(int64(beatInterval/5))), func() { w.beat(h, func() { w.beatLoop(h) }) })
+}
+
+func (w *world) beat(h *worldHost, next func()) {
+	s := &h.server
+	if !s.isUp {
+		next()
+		return
+	}
+	s.sequence++
+	beat := ownership.Heartbeat{Instance: s.instance, Service: "s", Places: 4, Sequence: s.sequence}
+	w.lapse(s)
+	for span, g := range s.holds.Runs() {
+		if g.until != 0 {
+			beat.Holds = append(beat.Holds, ownership.Hold{Span: span, Fence: g.fence})
+		}
+	}
+	beat.Released = s.released
+	sentAt, life, instance := w.now, h.life, s.instance
+	settled := false
+	settle := func(do func()) {
+		if !settled {
+			settled = true
+			if s.isUp && s.instance == instance && do != nil {
+				do()
+			}
+			next()
+		}
+	}
+	w.after(100*time.Millisecond, func() { settle(nil) })
+	w.after(w.delay()/4, func() {
+		w.onDaemon(h, life, func() {
+			now := w.instant(h)
+			w.effects(h, h.machine.SetServer(now, ownership.ServerReady))
+			orders, effects := h.machine.Heartbeat(now, beat)
+			w.effects(h, effects)
+			if orders.Hold > 0 && w.flaw == holdBeyondAuthority {
+				orders.Hold = worldTiming().Hold
+			}
+			w.after(w.delay()/4, func() { settle(func() { w.obey(h, orders, sentAt) }) })
+		})
+	})
+}
+
+// lapse drops the holds that have run out.
+func (w *world) lapse(s *worldServer) {
+	holds := s.holds.Clone()
+	for span, g := range holds.Runs() {
+		if g.until != 0 && g.until <= w.now {
+			s.holds.Set(span, grip{})
+		}
+	}
+}
+
+// obey takes up orders: what is left out is released, at times after some work on it has ended.
+func (w *world) obey(h *worldHost, orders ownership.Orders, sentAt time.Duration) {
+	s := &h.server
+	s.released = nil
+	if orders.Hold <= 0 {
+		return
+	}
+	until := sentAt + time.Duration(float64(orders.Hold)/s.rate)
+	var granted keyspace.Map[bool]
+	for _, g := range orders.Grants {
+		granted.Set(g.Span, true)
+		w.hold(h, g, until)
+	}
+	holds := s.holds.Clone()
+	for span, isGranted := range granted.Runs() {
+		if isGranted {
+			continue
+		}
+		for part, g := range holds.Within(span) {
+			if g.until == 0 {
+				continue
+			}
+			if w.random.IntN(4) == 0 && !g.isOver {
+				g.isOver = true // work goes on until the next heartbeat
+				s.holds.Set(part, g)
+				continue
+			}
+			s.holds.Set(part, grip{})
+			s.released = append(s.released, ownership.Release{Span: part, Handover: "h"})
+		}
+	}
+}
+
+// hold makes a server hold keys, and checks that nobody else does and that its fence is above all others'.
+func (w *world) hold(h *worldHost, g ownership.Grant, until time.Duration) {
+	s := &h.server
+	for _, fence := range s.seen.Within(g.Span) {
+		if fence > g.Fence {
+			return // not accepted
+		}
+	}
+	if until <= w.now {
+		return
+	}
+	for _, other := range w.hosts {
+		if other == h || !other.server.isUp {
+			continue
+		}
+		for span, held := range other.server.holds.Within(g.Span) {
+			if held.until > w.now {
+				w.fail("%s and %s hold %d to %d", h.id, other.id, span.From, span.To)
+			}
+		}
+	}
+	for span, holder := range w.lastHolder.Within(g.Span) {
+		if holder == s.instance || holder == (ownership.Instance{}) {
+			continue
+		}
+		if fence := w.lastFence.At(span.From); fence >= g.Fence {
+			w.fail("%s got %d to %d under fence %d, not above %d", h.id, span.From, span.To, g.Fence, fence)
+		}
+	}
+	w.lastHolder.Set(g.Span, s.instance)
+	w.lastFence.Set(g.Span, g.Fence)
+	s.seen.Set(g.Span, g.Fence)
+	s.holds.Set(g.Span, grip{until: until, fence: g.Fence})
+}
+
+func (w *world) fail(format string, values ...any) {
+	if w.failure == "" {
+		w.failure = fmt.Sprintf("at %s: ", w.now) + fmt.Sprintf(format, values...)
+	}
+}
+
+func (w *world) faultLoop() {
+	w.after(time.Duration(w.random.Int64N(int64(500*time.Millisecond))), func() {
+		if !w.faultsOff {
+			w.fault(w.hosts[w.random.IntN(hostCount)])
+		}
+		w.faultLoop()
+	})
+}
+
+func (w *world) fault(h *worldHost) {
+	length := time.Duration(w.random.Int64N(int64(1500 * time.Millisecond)))
+	switch w.random.IntN(9) {
+	case 0: // the daemon restarts beside a server that goes on
+		h.isUp = false
+		w.after(length/10, func() { w.startDaemon(h) })
+	case 1: // the host stands still
+		if w.now >= h.wakeAt {
+			h.wakeAt = w.now + length
+			h.skipped += length
+		}
+	case 2:
+		if w.random.IntN(3) == 0 {
+			w.storeDownUntil = w.now + length
+		}
+	case 3: // the store takes keys away while leases go on
+		w.store.RemoveLeased(w.layout.Presence(h.id))
+	case 4: // the store turns the host away
+		h.cutUntil = w.now + length
+	case 5: // the server starts anew, and the daemon finds out
+		h.server.isUp = false
+		life := h.life
+		w.onDaemon(h, life, func() { w.effects(h, h.machine.SetServer(w.instant(h), ownership.ServerEnded)) })
+		w.after(length/4, func() { w.startServer(h) })
+	case 6: // the server starts anew, and its first heartbeat tells
+		w.startServer(h)
+	case 7: // the server leaves or falls silent for a while
+		state := ownership.ServerDraining + ownership.ServerState(w.random.IntN(2))
+		w.onDaemon(h, h.life, func() { w.effects(h, h.machine.SetServer(w.instant(h), state)) })
+	case 8: // busy keys appear
+		loads := map[class.Key]float64{}
+		for range 20 {
+			loads[class.Key(w.random.IntN(1000))] = 0.3
+		}
+		h.machine.SetLoads(loads)
+	}
+}
