fix: the answer to an earlier write no longer settles a later one

The host went on granting keys that its write gave away a moment later, so two servers held them. Writes and answers carry a token now. Ruled out: the pause itself (authority was left), the wait of the take-over.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -214,7 +214,7 @@
 		case ownership.ReadRecord:
 			c.readRecord()
 		case ownership.WriteRecord:
-			c.writeRecord(effect.Txn)
+			c.writeRecord(effect)
 		case ownership.EndLease:
 			c.endLease(effect.Host)
 		case ownership.Adopted:
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -32,10 +32,11 @@
 }
 
 // writeRecord writes a change of the record.
-func (c *control) writeRecord(txn store.Txn) {
+func (c *control) writeRecord(w ownership.WriteRecord) {
 	c.async(func(ctx context.Context) func(ownership.Instant) {
-		revision, err := c.store.Commit(ctx, txn)
-		result := c.fateOf(txn, revision, err)
+		revision, err := c.store.Commit(ctx, w.Txn)
+		result := c.fateOf(w.Txn, revision, err)
+		result.Token = w.Token
 		return func(now ownership.Instant) { c.ownership(now, c.machine.WriteDone(now, result)) }
 	})
 }
--- a/ownership/effect.go
+++ b/ownership/effect.go
@@ -9,7 +9,13 @@
 type ReadRecord struct{}
 
 // WriteRecord asks for a write. Its answer goes to WriteDone.
-type WriteRecord struct{ Txn store.Txn }
+type WriteRecord struct {
+	Token WriteToken
+	Txn   store.Txn
+}
+
+// WriteToken tells the answers to different writes apart: one may come after its write was settled in another way.
+type WriteToken uint64
 
 // EndLease asks to find a host's epoch, to end its lease and to make sure that its presence is gone. Its answer goes to
 // LeaseEnded.
--- a/ownership/explore_test.go
+++ b/ownership/explore_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
 // walkCount is how many walks the exploration takes; the long run is go test ./ownership -run Exploration -v
@@ -27,9 +29,9 @@
 	for range runtime.GOMAXPROCS(0) {
 		group.Go(func() {
 			for {
-				walk := int(next.Add(1)) - 1
+				walk := *firstWalk + int(next.Add(1)) - 1
 				mu.Lock()
-				isOver := walk >= count || failed >= 0
+				isOver := walk >= *firstWalk+count || failed >= 0
 				mu.Unlock()
 				if isOver {
 					return
@@ -75,3 +77,23 @@
 		})
 	}
 }
+
+// firstWalk lets a run begin at a walk that is of interest.
+var firstWalk = flag.Int("explore.first", 0, "first walk of the exploration")
+
+// watchedKey traces what happens around a key in the first walk.
+var watchedKey = flag.Int("explore.watch", -1, "key to trace in the first walk")
+
+func TestTrace(t *testing.T) {
+	if *watchedKey < 0 {
+		t.Skip("for looking at one walk: -explore.first N -explore.watch KEY")
+	}
+	w := newWorld(uint64(*firstWalk), none)
+	w.isTraced = true
+	w.watched = class.Key(*watchedKey)
+	w.run()
+	for _, line := range w.trace {
+		t.Log(line)
+	}
+	t.Log(w.failure)
+}
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -89,6 +89,7 @@
 	version     uint64
 
 	pending    *pendingWrite
+	lastToken  WriteToken
 	writeAfter Instant
 	conflicts  int
 
@@ -97,7 +98,8 @@
 	absentSince map[HostID]Instant
 	takeovers   map[HostID]*takeover
 
-	loads   map[class.Key]float64
+	// loads holds the busy keys in order.
+	loads   []keyLoad
 	levelAt Instant
 }
 
@@ -297,8 +299,20 @@
 	return false
 }
 
+// keyLoad is how many places work on a key, on average.
+type keyLoad struct {
+	key  class.Key
+	load float64
+}
+
 // SetLoads takes in how many places work on each busy key, on average.
-func (m *Machine) SetLoads(loads map[class.Key]float64) { m.loads = loads }
+func (m *Machine) SetLoads(loads map[class.Key]float64) {
+	m.loads = m.loads[:0]
+	for key, load := range loads {
+		m.loads = append(m.loads, keyLoad{key: key, load: load})
+	}
+	slices.SortFunc(m.loads, func(a, b keyLoad) int { return int(a.key) - int(b.key) })
+}
 
 // SetServer takes in what is believed of the backend server beside this daemon.
 func (m *Machine) SetServer(now Instant, state ServerState) []Effect {
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -89,26 +90,31 @@
 // splitLoad is the load, in places, above which a run is looked at key by key.
 const splitLoad = 0.25
 
+// splitParts is into how many parts such a run is cut.
+const splitParts = 4
+
 func (m *Machine) split(span keyspace.Span) []placement.Run {
-	total := 0.0
-	for key := int(span.From); key <= int(span.To); key++ {
-		total += m.loads[class.Key(key)]
+	first, _ := slices.BinarySearchFunc(m.loads, span.From, func(l keyLoad, key class.Key) int { return int(l.key) - int(key) })
+	total, end := 0.0, first
+	for ; end < len(m.loads) && m.loads[end].key <= span.To; end++ {
+		total += m.loads[end].load
 	}
 	if total < splitLoad || span.Size() == 1 {
 		return []placement.Run{{Span: span, Load: total}}
 	}
-	// Parts of about a quarter of the load each.
+	// Parts of about a quarter of the load each, cut behind a busy key.
 	var runs []placement.Run
 	part := placement.Run{Span: keyspace.Span{From: span.From}}
-	for key := int(span.From); key <= int(span.To); key++ {
-		part.Load += m.loads[class.Key(key)]
-		part.Span.To = class.Key(key)
-		if part.Load >= total/4 || key == int(span.To) {
+	for _, busy := range m.loads[first:end] {
+		part.Load += busy.load
+		if part.Load >= total/splitParts && busy.key < span.To {
+			part.Span.To = busy.key
 			runs = append(runs, part)
-			part = placement.Run{Span: keyspace.Span{From: class.Key(key + 1)}}
+			part = placement.Run{Span: keyspace.Span{From: busy.key + 1}}
 		}
 	}
-	return runs
+	part.Span.To = span.To
+	return append(runs, part)
 }
 
 // places returns the peers as placement sees them. The host named besides has no capacity.
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -147,6 +147,9 @@
 	takeovers  int
 	moves      int
 	faultsOff  bool
+	isTraced   bool
+	trace      []string
+	watched    class.Key
 }
 
 func newWorld(seed uint64, f flaw) *world {
@@ -157,6 +160,9 @@
 		layout: ownership.Layout{Prefix: "w/"},
 	}
 	w.store = store.NewMemory(w.clock)
+	if w.random.IntN(8) > 0 {
+		w.deal() // else the hosts have to do it
+	}
 	for i := range w.hosts {
 		h := &worldHost{id: ownership.HostID(fmt.Sprintf("h%d", i)), rate: w.skew()}
 		h.server.rate = w.skew()
@@ -170,6 +176,26 @@
 	return w
 }
 
+// deal writes a first record of few ranges, which keeps walks short.
+func (w *world) deal() {
+	record := &ownership.Record{Service: "s", Generation: 1}
+	for i := range hostCount {
+		record.Members = append(record.Members, ownership.Member{Host: ownership.HostID(fmt.Sprintf("h%d", i))})
+	}
+	for i := range 2 * hostCount {
+		from := class.Key(i * 1000)
+		record.Keys.Set(keyspace.Span{From: from, To: class.KeyCount - 1}, ownership.Assignment{Owner: i % hostCount, Fence: 1})
+	}
+	data, err := record.Encode()
+	if err != nil {
+		panic(err)
+	}
+	put := store.Txn{Puts: []store.Put{{Key: w.layout.Record("s"), Value: data}}}
+	if _, err := w.store.Commit(context.Background(), put); err != nil {
+		panic(err)
+	}
+}
+
 func (w *world) skew() float64 { return 1 - clockSkew + 2*clockSkew*w.random.Float64() }
 
 // run plays until the end or the first broken promise.
@@ -372,10 +398,11 @@
 		case ownership.ReadRecord:
 			w.read(h)
 		case ownership.WriteRecord:
-			w.write(h, effect.Txn)
+			w.write(h, effect.Token, effect.Txn)
 		case ownership.EndLease:
 			w.endLease(h, effect.Host)
 		case ownership.Event:
+			w.note("%s %s %s %d %s", h.id, effect.Kind, effect.Host, effect.Keys, effect.Detail)
 			switch effect.Kind {
 			case ownership.EventTookOver:
 				w.takeovers++
@@ -411,12 +438,12 @@
 	return record
 }
 
-func (w *world) write(h *worldHost, txn store.Txn) {
+func (w *world) write(h *worldHost, token ownership.WriteToken, txn store.Txn) {
 	txn = w.spoil(h, txn)
 	var revision store.Revision
 	do := func() (err error) { revision, err = w.store.Commit(context.Background(), txn); return err }
 	w.call(h, do, func(err error) {
-		result := ownership.WriteResult{Fate: ownership.WriteLanded, Revision: revision}
+		result := ownership.WriteResult{Token: token, Fate: ownership.WriteLanded, Revision: revision}
 		switch failure := err.(type) {
 		case nil:
 		case *store.ConflictError:
@@ -430,10 +457,19 @@
 				result.Fate = ownership.WriteConflict
 			}
 		}
+		w.note("%s write %s: revision %d, owner of the watched key %s", h.id, result.Fate, result.Revision, w.ownerOfWatched())
 		w.effects(h, h.machine.WriteDone(w.instant(h), result))
 	})
 }
 
+func (w *world) ownerOfWatched() ownership.HostID {
+	item, err := w.store.Get(context.Background(), w.layout.Record("s"))
+	if err != nil || item.Revision == 0 {
+		return ""
+	}
+	return decode(item).Owner(w.watched)
+}
+
 // spoil leaves out conditions, or raised fences.
 func (w *world) spoil(h *worldHost, txn store.Txn) store.Txn {
 	switch w.flaw {
@@ -569,6 +605,12 @@
 func (w *world) obey(h *worldHost, orders ownership.Orders, sentAt time.Duration) {
 	s := &h.server
 	s.released = nil
+	w.note("%s obeys orders of %d rows for %s, sent for a heartbeat of %s", s.instance, len(orders.Grants), orders.Hold, sentAt)
+	for _, g := range orders.Grants {
+		if g.Span.Has(w.watched) {
+			w.note("  row %d to %d fence %d", g.Span.From, g.Span.To, g.Fence)
+		}
+	}
 	if orders.Hold <= 0 {
 		return
 	}
@@ -633,6 +675,13 @@
 	s.holds.Set(g.Span, grip{until: until, fence: g.Fence})
 }
 
+// note keeps a line about what happened, for walks that are looked at.
+func (w *world) note(format string, values ...any) {
+	if w.isTraced {
+		w.trace = append(w.trace, fmt.Sprintf("%12s ", w.now)+fmt.Sprintf(format, values...))
+	}
+}
+
 func (w *world) fail(format string, values ...any) {
 	if w.failure == "" {
 		w.failure = fmt.Sprintf("at %s: ", w.now) + fmt.Sprintf(format, values...)
@@ -650,7 +699,9 @@
 
 func (w *world) fault(h *worldHost) {
 	length := time.Duration(w.random.Int64N(int64(1500 * time.Millisecond)))
-	switch w.random.IntN(9) {
+	kind := w.random.IntN(9)
+	w.note("%s fault %d for %s", h.id, kind, length)
+	switch kind {
 	case 0: // the daemon restarts beside a server that goes on
 		h.isUp = false
 		w.after(length/10, func() { w.startDaemon(h) })
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -14,14 +14,13 @@
 
 // pendingWrite is a write whose fate is not known yet. It is sent again until the store decides: only one copy can land.
 type pendingWrite struct {
+	token      WriteToken
 	base       store.Revision
 	record     *Record
 	txn        store.Txn
 	events     []Effect
 	isInFlight bool
-	// wasLost says that a copy had no answer and may still land.
-	wasLost bool
-	retryAt Instant
+	retryAt    Instant
 }
 
 //go:generate go tool stringer -type=WriteFate -linecomment
@@ -42,7 +41,8 @@
 
 // WriteResult is the answer to WriteRecord.
 type WriteResult struct {
-	Fate WriteFate
+	Token WriteToken
+	Fate  WriteFate
 	// Revision is that of the written record.
 	Revision store.Revision
 	// Record and RecordRevision are the present record after a conflict.
@@ -59,7 +59,7 @@
 			return nil
 		}
 		p.isInFlight = true
-		return []Effect{WriteRecord{Txn: p.txn}}
+		return []Effect{WriteRecord{Token: p.token, Txn: p.txn}}
 	}
 	if !m.mayAct(now) || now < m.writeAfter {
 		return nil
@@ -86,14 +86,22 @@
 			store.Condition{Key: m.layout.Presence(host)},
 		)
 	}
-	m.pending = &pendingWrite{base: m.revision, record: d.record, txn: txn, events: d.events, isInFlight: true}
-	return []Effect{WriteRecord{Txn: txn}}
+	m.lastToken++
+	m.pending = &pendingWrite{
+		token:      m.lastToken,
+		base:       m.revision,
+		record:     d.record,
+		txn:        txn,
+		events:     d.events,
+		isInFlight: true,
+	}
+	return []Effect{WriteRecord{Token: m.lastToken, Txn: txn}}
 }
 
 // WriteDone takes in the answer to WriteRecord.
 func (m *Machine) WriteDone(now Instant, result WriteResult) []Effect {
 	p := m.pending
-	if p == nil || !p.isInFlight {
+	if p == nil || p.token != result.Token || !p.isInFlight {
 		return nil
 	}
 	p.isInFlight = false
@@ -104,7 +112,6 @@
 	case WriteConflict:
 		return m.conflicted(now, p, result)
 	case WriteLost:
-		p.wasLost = true
 		p.retryAt = now.Add(m.timing.Retry)
 		return []Effect{Event{Kind: EventUndecided}}
 	default:
