--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -356,7 +356,7 @@
 			err = c.watch(ctx, revision)
 		}
 		if err != nil && ctx.Err() == nil {
-			c.log.Debug("store not read", "error", err)
+			c.log.Info("store not read", "error", err)
 			c.sleep(ctx, pause)
 			pause = min(2*pause, storeRetryMost)
 		}
@@ -426,6 +426,11 @@
 		if err != nil {
 			return err
 		}
+		if len(changes.Items) == 0 && changes.Revision > revision {
+			// All changes are watched, so some were made that the watch did not hear.
+			c.log.Warn("watch missed changes", "after", revision, "revision", changes.Revision)
+			return nil
+		}
 		revision = max(revision, changes.Revision)
 		c.post(ctx, func(now ownership.Instant) {
 			c.acceptAll(now, changes.Items)
