--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,14 @@
-.PHONY: build demo test generate
+.PHONY: build demo demo-dakar test generate
 
 build:
 	mkdir -p bin
 	go build -o bin/ . ./standin
 
 demo: build
-	./scripts/demo.sh lorient
+	bin/standin demo lorient
 
 demo-dakar: build
-	./scripts/demo.sh dakar
+	bin/standin demo dakar
 
 generate:
 	go generate ./...
