fix: a server is never granted keys under a lower fence than it has seen

Ruled out: truncated answers (none was logged), holds that ran out. The machine now remembers the highest fence that the server has seen, counts rows in bytes, and raises the fences of keys that two heartbeats in a row do not hold (after a restart it cannot know what was seen). First deals have fewer rows a server, and lost keys go rather to the owners of neighbouring ones. A heartbeat's life is known before fences are raised.

--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
-	"github.com/skylarkrelay/skylarkrelay/placement"
 )
 
 // leastHold is the shortest hold worth granting: less would run out before the next heartbeat.
@@ -26,6 +25,9 @@
 		m.held.Clear()
 	}
 	m.instance = instance
+	m.seen.Clear()
+	m.missing.Clear()
+	m.unaccepted.Clear()
 	m.handovers.Clear()
 	m.stopServing()
 }
@@ -33,6 +35,7 @@
 // takeHolds makes the heartbeat's own account of what it holds the known one. Heartbeats follow each other, so nothing
 // that an earlier answer granted is missing from it.
 func (m *Machine) takeHolds(now Instant, beat Heartbeat) {
+	m.findUnaccepted(beat)
 	before := m.held
 	m.held = keyspace.Map[held]{}
 	unknown := now.Add(stretch(m.timing.Hold))
@@ -44,12 +47,49 @@
 			}
 			m.held.Set(span, held{until: until, fence: hold.Fence})
 		}
+		m.raiseSeen(hold.Span, hold.Fence)
 	}
 	for _, release := range beat.Released {
 		m.handovers.Set(release.Span, release.Handover)
 	}
 }
 
+// findUnaccepted finds granted keys that two heartbeats in a row do not hold: the server must have seen a higher fence
+// than the record's, granted by an earlier daemon. Their fences are raised.
+func (m *Machine) findUnaccepted(beat Heartbeat) {
+	var holds, missing keyspace.Map[bool]
+	for _, hold := range beat.Holds {
+		holds.Set(hold.Span, true)
+	}
+	for span, isServed := range m.served.Runs() {
+		if !isServed {
+			continue
+		}
+		for part, isHeld := range holds.Within(span) {
+			if isHeld {
+				continue
+			}
+			missing.Set(part, true)
+			for piece, wasMissing := range m.missing.Within(part) {
+				if wasMissing {
+					m.unaccepted.Set(piece, true)
+				}
+			}
+		}
+	}
+	m.missing = missing
+}
+
+// raiseSeen takes note of a fence that the server has seen.
+func (m *Machine) raiseSeen(span keyspace.Span, fence Fence) {
+	before := m.seen.Clone()
+	for part, seen := range before.Within(span) {
+		if fence > seen {
+			m.seen.Set(part, fence)
+		}
+	}
+}
+
 // orders returns what the backend server is to hold now.
 func (m *Machine) orders(now Instant) Orders {
 	hold := min(m.timing.Hold, time.Duration(float64(m.authority.Sub(now))/clockMargin))
@@ -76,7 +116,7 @@
 	return Orders{Hold: hold, Grants: grants}
 }
 
-// grants returns the rows for the keys of this host that stay.
+// grants returns the rows for the keys of this host that stay, as far as they fit into an answer.
 func (m *Machine) grants(self int) []Grant {
 	var grants []Grant
 	for span, a := range m.known.Keys.Runs() {
@@ -91,16 +131,56 @@
 			if m.held.At(part.From).fence >= a.Fence {
 				handover = "" // it holds them already
 			}
-			grants = append(grants, Grant{Span: part, Fence: a.Fence, Handover: handover})
+			grants = append(grants, Grant{Span: part, Fence: m.fenceFor(part, a.Fence), Handover: handover})
 		}
 	}
-	if len(grants) <= placement.MaxRows {
-		return grants
+	if size(grants) > answerBytes {
+		grants = merge(grants)
+	}
+	for size(grants) > answerBytes {
+		grants = grants[:len(grants)-1]
+	}
+	for _, g := range grants {
+		m.raiseSeen(g.Span, g.Fence)
+	}
+	return grants
+}
+
+// fenceFor returns the fence under which to grant keys: that of the record, or a higher one that the server has seen. Any
+// that this host has granted is below that of a later owner.
+func (m *Machine) fenceFor(span keyspace.Span, fence Fence) Fence {
+	for _, seen := range m.seen.Within(span) {
+		fence = max(fence, seen)
+	}
+	return fence
+}
+
+const (
+	// answerBytes bounds the rows of an answer to a heartbeat: 4 KiB less what is around them.
+	answerBytes = 4000
+	// rowBytes is the size of a row without its digits and its handover.
+	rowBytes = 8
+)
+
+// size returns about how long rows are in an answer.
+func size(grants []Grant) int {
+	total := 0
+	for _, g := range grants {
+		total += rowBytes + digits(uint64(g.Span.From)) + digits(uint64(g.Span.To)) + digits(uint64(g.Fence)) + len(g.Handover)
+	}
+	return total
+}
+
+func digits(n uint64) int {
+	count := 1
+	for n >= 10 {
+		n /= 10
+		count++
 	}
-	return merge(grants)[:min(len(merge(grants)), placement.MaxRows)]
+	return count
 }
 
-// merge joins neighbouring rows under the higher fence. It is below that of any later owner.
+// merge joins neighbouring rows under the higher fence.
 func merge(grants []Grant) []Grant {
 	merged := grants[:0:0]
 	for _, g := range grants {
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -78,6 +78,11 @@
 	held         keyspace.Map[held]
 	unknownUntil Instant
 	handovers    keyspace.Map[Handover]
+	// seen is the highest fence that this life of the server is known to have seen of each key.
+	seen keyspace.Map[Fence]
+	// missing marks granted keys that the last heartbeat did not hold, and unaccepted those whose fence must be raised.
+	missing    keyspace.Map[bool]
+	unaccepted keyspace.Map[bool]
 	// leaving names, for each key that is no longer granted, the host that shall have it.
 	leaving      keyspace.Map[HostID]
 	leavingSince Instant
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -39,7 +39,7 @@
 		}
 		for part, to := range m.leaving.Within(span) {
 			if to == "" {
-				runs = append(runs, placement.Run{Span: part})
+				runs = append(runs, placement.Run{Span: part, Neighbour: m.neighbour(m.known, part)})
 			}
 		}
 	}
@@ -49,6 +49,15 @@
 	return m.leave(now, placement.Rehome(runs, m.places(m.known, m.self)), "server "+m.state.String())
 }
 
+// neighbour returns one more than the index of the peer that owns the key before some, or zero.
+func (m *Machine) neighbour(r *Record, span keyspace.Span) int {
+	if span.From == 0 {
+		return 0
+	}
+	owner := r.Owner(span.From - 1)
+	return 1 + slices.IndexFunc(m.peers, func(p Peer) bool { return p.Host == owner })
+}
+
 // planLevel gives keys to servers that have far fewer, or far less to do.
 func (m *Machine) planLevel(now Instant, self int) []Effect {
 	if m.isLeaving {
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -31,7 +31,6 @@
 	undecidedForgotten
 	steadyClock
 	holdBeyondAuthority
-	leaseForEachAttempt
 	fenceNotRaised
 	flaws
 )
@@ -39,7 +38,7 @@
 var flawNames = [flaws]string{
 	"none", "no wait", "lease not ended", "lost epoch not in the condition", "registered without reading",
 	"own epoch not in the condition", "authority from the answer", "restarted daemon gives at once",
-	"undecided write forgotten", "steady clock", "hold beyond authority", "a lease for each attempt", "fence not raised",
+	"undecided write forgotten", "steady clock", "hold beyond authority", "fence not raised",
 }
 
 // Times of the world, a tenth of the real ones.
@@ -49,6 +48,8 @@
 	worldLength  = 12 * time.Second
 	hostCount    = 3
 	clockSkew    = 0.02
+	// noticeTicks is how many ticks pass on average until a host hears that the store has lost its presence.
+	noticeTicks = 60
 )
 
 func worldTiming() ownership.Timing {
@@ -326,7 +327,7 @@
 	if record, revision := other.machine.Known(); record != nil && w.random.IntN(3) > 0 {
 		w.effects(h, h.machine.Learn(now, record, revision))
 	}
-	if item, err := w.store.Get(context.Background(), w.layout.Presence(h.id)); err == nil && item.Revision == 0 && w.random.IntN(4) == 0 {
+	if item, err := w.store.Get(context.Background(), w.layout.Presence(h.id)); err == nil && item.Revision == 0 && w.random.IntN(noticeTicks) == 0 {
 		w.registration(h, h.registrar.PresenceGone(now, 1<<62))
 	}
 }
@@ -365,9 +366,6 @@
 		case membership.Register:
 			var revision store.Revision
 			w.call(h, func() (err error) { revision, err = w.store.Commit(ctx, effect.Txn); return err }, func(err error) {
-				if _, isLost := err.(*store.LostError); isLost && w.flaw == leaseForEachAttempt {
-					err = &store.LeaseEndedError{}
-				}
 				w.registration(h, h.registrar.RegisterDone(w.instant(h), w.sentAt(h, effect.SentAt), revision, err))
 			})
 		case membership.RenewLease:
@@ -714,10 +712,16 @@
 		if w.random.IntN(3) == 0 {
 			w.storeDownUntil = w.now + length
 		}
-	case 3: // the store takes keys away while leases go on
+	case 3: // the store takes keys away while leases go on, and may turn the host away a little later
 		w.store.RemoveLeased(w.layout.Presence(h.id))
-	case 4: // the store turns the host away
+		if w.random.IntN(2) == 0 {
+			w.after(150*time.Millisecond+length/5, func() { h.cutUntil = w.now + length })
+		}
+	case 4: // the store turns the host away, and may take its keys away at once
 		h.cutUntil = w.now + length
+		if w.random.IntN(2) == 0 {
+			w.store.RemoveLeased(w.layout.Presence(h.id))
+		}
 	case 5: // the server starts anew, and the daemon finds out
 		h.server.isUp = false
 		life := h.life
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -181,10 +181,11 @@
 // hasWish tells cheaply whether anything can be wanted, as is not the rule.
 func (m *Machine) hasWish(now Instant) bool {
 	self := m.known.Find(m.self)
-	if m.state == ServerReady && (self == Nobody || m.known.Members[self].Instance != m.instance) {
+	isKnown := m.state == ServerReady && m.instance != (Instance{})
+	if isKnown && (self == Nobody || m.known.Members[self].Instance != m.instance) {
 		return true
 	}
-	if m.isLeaving {
+	if m.isLeaving || m.unaccepted.Len() > 0 {
 		return true
 	}
 	for _, t := range m.takeovers {
@@ -234,7 +235,7 @@
 
 // composeSelf makes this host a member, and raises the fences of its keys for a new life of its backend server.
 func (m *Machine) composeSelf(now Instant, d *draft) {
-	if m.state != ServerReady {
+	if m.state != ServerReady || m.instance == (Instance{}) {
 		return
 	}
 	self := d.record.Find(m.self)
@@ -244,6 +245,7 @@
 		return
 	}
 	if d.record.Members[self].Instance == m.instance {
+		m.composeUnaccepted(now, d, self)
 		return
 	}
 	keys := 0
@@ -262,6 +264,27 @@
 	d.events = append(d.events, Event{Kind: EventRaised, Keys: keys, Detail: m.instance.String()})
 }
 
+// composeUnaccepted raises the fences of keys that the backend server does not accept.
+func (m *Machine) composeUnaccepted(now Instant, d *draft, self int) {
+	keys := 0
+	for span, isUnaccepted := range m.unaccepted.Runs() {
+		if !isUnaccepted || !m.isFree(now, span) {
+			continue
+		}
+		for part, a := range m.known.Keys.Within(span) {
+			if a.Owner == self {
+				d.record.assign(part, self, a.Handover)
+				keys += part.Size()
+			}
+		}
+	}
+	m.unaccepted.Clear()
+	if keys > 0 {
+		d.isChanged = true
+		d.events = append(d.events, Event{Kind: EventRaised, Keys: keys, Detail: "not accepted"})
+	}
+}
+
 // composeLeaving gives away the leaving keys that the backend server no longer holds.
 func (m *Machine) composeLeaving(now Instant, d *draft) {
 	if !m.isLeaving {
@@ -340,7 +363,7 @@
 		keys := 0
 		for span, a := range d.record.Keys.Runs() {
 			if a.Owner == index {
-				runs = append(runs, placement.Run{Span: span})
+				runs = append(runs, placement.Run{Span: span, Neighbour: m.neighbour(d.record, span)})
 				keys += span.Size()
 			}
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,11 +13,15 @@
 )
 
 const (
-	// stripesPerPlace is how many stripes a server gets in a first deal. An answer to a heartbeat has room for some
-	// 180 rows; the rest is for stripes that are split, and for those of servers that are lost.
-	stripesPerPlace = 100
+	// stripesPerPlace is how many stripes a server gets at most in a first deal. An answer to a heartbeat has room for
+	// some 180 rows; the rest is for stripes that are split, and for those of servers that are lost.
+	stripesPerPlace = 130
 	// MaxRows is how many rows a server may hold.
 	MaxRows = 165
+	// crowdedRows is from how many rows on a run goes rather to the owner of a neighbouring run, so that rows can merge.
+	crowdedRows = 130
+	// neighbourShare is how much fuller that one may be.
+	neighbourShare = 1.3
 )
 
 // Nobody is the index of no place.
@@ -42,7 +46,7 @@
 		owners.Set(keyspace.All(), Nobody)
 		return owners
 	}
-	stripes := 1 << int(math.Ceil(math.Log2(float64(stripesPerPlace*len(places)))))
+	stripes := 1 << int(math.Log2(float64(stripesPerPlace*len(places))))
 	stripes = min(stripes, class.KeyCount)
 	size := class.KeyCount / stripes
 	turns := newTurns(places)
@@ -86,6 +90,8 @@
 	Span keyspace.Span
 	// Load is how many places of a server work on these keys on average.
 	Load float64
+	// Neighbour is one more than the index of the place that has the keys before these, or zero.
+	Neighbour int
 }
 
 // Move gives a span to a place.
@@ -109,21 +115,25 @@
 		if best == Nobody {
 			return nil
 		}
+		isMerged := false
+		if near := run.Neighbour - 1; near >= 0 && places[best].Rows >= crowdedRows && places[near].Capacity > 0 {
+			if fullness(places[near]) <= neighbourShare*fullness(places[best])+1 {
+				best, isMerged = near, true
+			}
+		}
 		places[best].Keys += run.Span.Size()
-		places[best].Rows++
+		if !isMerged {
+			places[best].Rows++
+		}
 		places[best].Load += run.Load
 		moves = append(moves, Move{Span: run.Span, To: best})
 	}
 	return moves
 }
 
-// fullness ranks places by their keys for their capacity; a place that is out of rows comes last.
+// fullness ranks places by their keys for their capacity.
 func fullness(p Place) float64 {
-	full := float64(p.Keys) / p.Capacity
-	if p.Rows >= MaxRows {
-		full += class.KeyCount
-	}
-	return full
+	return float64(p.Keys) / p.Capacity
 }
 
 const (
--- /dev/null
+++ b/sessions/sessions_test.go
@@ -0,0 +1,306 @@
+// Package sessions_test runs whole sessions over real processes, from scripts.
+package sessions_test
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/standin/deployment"
+)
+
+const (
+	// awaitTimeout bounds each wait. It is the one that the scripts of lost domains have always had.
+	awaitTimeout = 20 * time.Second
+	awaitPoll    = 50 * time.Millisecond
+)
+
+// session is what a script has started.
+type session struct {
+	deployment *deployment.Deployment
+	load       *deployment.Load
+}
+
+// key finds the session of a script.
+type key struct{}
+
+func TestSessions(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "skylarkrelay")
+	build := exec.Command("go", "build", "-o", binary, "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Values[key{}] = &session{}
+			env.Setenv("RELAY", binary)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"deployment": start,
+			"lose":       onHosts(func(h *deployment.Host) { h.Kill() }),
+			"crash":      onHosts(func(h *deployment.Host) { h.Crash() }),
+			"drain":      onHosts(func(h *deployment.Host) { h.Drain() }),
+			"freeze":     onHosts(func(h *deployment.Host) { _ = h.Signal(syscall.SIGSTOP) }),
+			"thaw":       onHosts(func(h *deployment.Host) { _ = h.Signal(syscall.SIGCONT) }),
+			"reload":     onHosts(func(h *deployment.Host) { _ = h.Signal(syscall.SIGHUP) }),
+			"terminate":  terminate,
+			"daemon":     startDaemon,
+			"server":     startServer,
+			"store":      storeFault,
+			"refuse":     refuse,
+			"forget":     forget,
+			"configure":  configure,
+			"load":       load,
+			"await":      await,
+			"pause":      pause,
+			"kept":       kept,
+		},
+	})
+}
+
+func of(ts *testscript.TestScript) *session { return ts.Value(key{}).(*session) }
+
+// start starts a deployment and waits until it serves everything: deployment lorient|dakar.
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	plan := deployment.Lorient()
+	if args[0] == "dakar" {
+		plan = deployment.Dakar()
+	}
+	d, err := deployment.Start(plan, ts.Getenv("RELAY"), ts.MkAbs("."))
+	if d != nil {
+		of(ts).deployment = d
+		ts.Defer(func() { finish(ts) })
+	}
+	ts.Check(err)
+	await(ts, false, []string{"served"})
+}
+
+// finish stops everything, and shows the logs of a script that failed.
+func finish(ts *testscript.TestScript) {
+	s := of(ts)
+	if s.load != nil {
+		s.load.Stop()
+	}
+	s.deployment.Stop()
+	if dir := os.Getenv("SESSION_LOGS"); dir != "" {
+		for _, h := range s.deployment.Hosts {
+			_ = os.WriteFile(filepath.Join(dir, ts.Name()+"-"+string(h.ID)+".log"), []byte(s.deployment.Logs(h)), 0o600)
+		}
+	}
+}
+
+// hosts returns the hosts that arguments name: a host, or all of a domain as domain:NAME.
+func hosts(ts *testscript.TestScript, args []string) []*deployment.Host {
+	var found []*deployment.Host
+	for _, arg := range args {
+		if domain, ok := strings.CutPrefix(arg, "domain:"); ok {
+			found = append(found, of(ts).deployment.In(domain)...)
+			continue
+		}
+		h := of(ts).deployment.Find(arg)
+		if h == nil {
+			ts.Fatalf("no host %s", arg)
+		}
+		found = append(found, h)
+	}
+	return found
+}
+
+func onHosts(do func(*deployment.Host)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		for _, h := range hosts(ts, args) {
+			do(h)
+		}
+	}
+}
+
+// terminate ends daemons in order; each must end within the grace time.
+func terminate(ts *testscript.TestScript, _ bool, args []string) {
+	for _, h := range hosts(ts, args) {
+		if !h.Terminate() {
+			ts.Fatalf("%s did not end in time", h.ID)
+		}
+	}
+}
+
+func startDaemon(ts *testscript.TestScript, _ bool, args []string) {
+	for _, h := range hosts(ts, args) {
+		ts.Check(of(ts).deployment.StartDaemon(h))
+	}
+}
+
+func startServer(ts *testscript.TestScript, _ bool, args []string) {
+	for _, h := range hosts(ts, args) {
+		ts.Check(of(ts).deployment.StartServer(h))
+	}
+}
+
+// storeFault sets a fault of the store: store down|lapse|up|compact.
+func storeFault(ts *testscript.TestScript, _ bool, args []string) {
+	d := of(ts).deployment
+	switch args[0] {
+	case "down":
+		d.StoreDown(false)
+	case "lapse":
+		d.StoreDown(true)
+	case "up":
+		d.StoreUp()
+	case "compact":
+		d.Compact()
+	default:
+		ts.Fatalf("store %s is unknown", args[0])
+	}
+}
+
+// refuse makes the store turn hosts away; ! refuse ends it.
+func refuse(ts *testscript.TestScript, neg bool, args []string) {
+	for _, h := range hosts(ts, args) {
+		of(ts).deployment.Refuse(h, !neg)
+	}
+}
+
+func forget(ts *testscript.TestScript, _ bool, args []string) {
+	for _, h := range hosts(ts, args) {
+		of(ts).deployment.Forget(h)
+	}
+}
+
+// configure writes a next configuration, which doubles all timeouts.
+func configure(ts *testscript.TestScript, _ bool, _ []string) {
+	d := of(ts).deployment
+	next := *deployment.Lorient().Config
+	next.Version = 7
+	next.Classes = append([]class.Class(nil), next.Classes...)
+	for i := range next.Classes {
+		next.Classes[i].Timeout *= 2
+	}
+	ts.Check(d.PutConfig(&next))
+}
+
+// load calls all classes: load start, load stop. load stop strict wants every call answered.
+func load(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	if args[0] == "start" {
+		s.load = s.deployment.StartLoad()
+		return
+	}
+	tallies := s.load.Stop()
+	s.load = nil
+	ts.Logf("%s", strings.Join(deployment.Lines(tallies), "\n"))
+	isStrict := len(args) > 1 && args[1] == "strict"
+	for name, t := range tallies {
+		if isStrict && t.Answered != t.Sent {
+			ts.Fatalf("class %s: %s", name, t)
+		}
+		if t.Answered == 0 {
+			ts.Fatalf("class %s: nothing was answered", name)
+		}
+	}
+}
+
+// await waits for a state: served, gone HOST..., version N.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	var why string
+	for begun := time.Now(); time.Since(begun) < awaitTimeout; time.Sleep(awaitPoll) {
+		switch args[0] {
+		case "served":
+			why = unserved(of(ts).deployment)
+		case "gone":
+			why = notGone(of(ts).deployment, hosts(ts, args[1:]))
+		case "version":
+			why = notInForce(of(ts).deployment, 7)
+		default:
+			ts.Fatalf("await %s is unknown", args[0])
+		}
+		if why == "" {
+			ts.Logf("after %s", time.Since(begun).Round(time.Millisecond))
+			return
+		}
+	}
+	ts.Logf("%s", strings.Join(of(ts).deployment.Ledger.Broken(), "\n"))
+	ts.Fatalf("not reached: %s", why)
+}
+
+// unserved asks the first host whose daemon runs.
+func unserved(d *deployment.Deployment) string {
+	for _, h := range d.Hosts {
+		if !h.IsRunning() {
+			continue
+		}
+		if failed := d.Unserved(h); len(failed) > 0 {
+			return failed[0]
+		}
+		return ""
+	}
+	return "no daemon runs"
+}
+
+// notGone tells which lost host still owns keys, or is still used.
+func notGone(d *deployment.Deployment, lost []*deployment.Host) string {
+	isLost := map[ownership.HostID]bool{}
+	for _, h := range lost {
+		isLost[h.ID] = true
+		if r := d.Record(h.Group.Service); r != nil {
+			if index := r.Find(h.ID); index != ownership.Nobody {
+				if keys, _ := r.Held(); keys[index] > 0 {
+					return string(h.ID) + " to be gone"
+				}
+			}
+		}
+	}
+	for _, h := range d.Hosts {
+		if !h.IsRunning() || isLost[h.ID] {
+			continue
+		}
+		status, err := h.Status(context.Background())
+		if err != nil {
+			return err.Error()
+		}
+		for _, other := range status.Hosts {
+			if isLost[ownership.HostID(other.Host)] && other.IsUsable {
+				return other.Host + " to be gone at " + string(h.ID)
+			}
+		}
+	}
+	return ""
+}
+
+func notInForce(d *deployment.Deployment, version class.Version) string {
+	for _, h := range d.Hosts {
+		if !h.IsRunning() {
+			continue
+		}
+		status, err := h.Status(context.Background())
+		if err != nil {
+			return err.Error()
+		}
+		if status.Config != version {
+			return string(h.ID) + " to have the configuration"
+		}
+	}
+	return ""
+}
+
+func pause(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+// kept checks that no promise was broken.
+func kept(ts *testscript.TestScript, _ bool, _ []string) {
+	if broken := of(ts).deployment.Ledger.Broken(); len(broken) > 0 {
+		ts.Fatalf("broken promises:\n%s", strings.Join(broken, "\n"))
+	}
+}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -250,6 +250,16 @@
 	return found
 }
 
+// IsRunning tells whether the host's daemon runs.
+func (h *Host) IsRunning() bool {
+	select {
+	case <-h.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // Signal sends a signal to a host's daemon.
 func (h *Host) Signal(s syscall.Signal) error { return h.process.Process.Signal(s) }
 
@@ -272,7 +282,10 @@
 }
 
 // Crash ends a host's backend server.
-func (h *Host) Crash() { h.server.end() }
+func (h *Host) Crash() {
+	h.server.end()
+	h.server = nil
+}
 
 // Drain makes a host's backend server say that it leaves.
 func (h *Host) Drain() { h.server.Drain() }
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -179,6 +179,8 @@
 			s.holds.Set(g.Span, grip{until: until, fence: g.Fence})
 			s.seen.Set(g.Span, g.Fence)
 			s.ledger.granted(s.instance, g, until)
+		} else {
+			s.ledger.report("%s was given %d to %d under fence %d, below one it had", s.instance, g.Span.From, g.Span.To, g.Fence)
 		}
 	}
 	now := time.Now()
