--- /dev/null
+++ b/ownership/machine_test.go
@@ -0,0 +1,164 @@
+package ownership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/store"
+)
+
+var life = ownership.Instance{ID: "i", Born: 1}
+
+// owner returns the machine of host "a", registered, with a record of stripes of which every second is its own.
+func owner(stripes int) (*ownership.Machine, *ownership.Record) {
+	m := ownership.NewMachine(0, "a", "s", ownership.Layout{}, ownership.DefaultTiming(), rand.New(rand.NewPCG(1, 1)))
+	m.Registered(1, 1, 1, 10)
+	record := striped(stripes, 1)
+	m.ReadDone(2, 1, record, 20, true)
+	m.SetServer(3, ownership.ServerReady)
+	return m, record
+}
+
+func striped(stripes int, generation ownership.Fence) *ownership.Record {
+	record := &ownership.Record{Service: "s", Generation: generation, Members: []ownership.Member{
+		{Host: "a", Instance: life}, {Host: "b"},
+	}}
+	size := class.KeyCount / stripes
+	for i := range stripes {
+		a := ownership.Assignment{Owner: i % 2, Fence: 1 + ownership.Fence(i)%generation}
+		record.Keys.Set(keyspace.Span{From: class.Key(i * size), To: class.KeyCount - 1}, a)
+	}
+	return record
+}
+
+func beat(sequence uint64, holds []ownership.Grant) ownership.Heartbeat {
+	b := ownership.Heartbeat{Instance: life, Service: "s", Places: 1, Sequence: sequence}
+	for _, g := range holds {
+		b.Holds = append(b.Holds, ownership.Hold{Span: g.Span, Fence: g.Fence})
+	}
+	return b
+}
+
+func TestRecordThereAndBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	record := striped(64, 5)
+	record.Keys.Set(keyspace.Span{From: 9, To: 9}, ownership.Assignment{Owner: ownership.Nobody, Fence: 3, Handover: "h\x00"})
+	record.Nonce = "n"
+	data, err := record.Encode()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	decoded, err := ownership.Decode(data)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(decoded).To(gomega.Equal(record))
+	for n := range len(data) - 1 {
+		_, err := ownership.Decode(data[:n])
+		g.Expect(err).To(gomega.BeAssignableToTypeOf(&ownership.RecordError{}))
+	}
+}
+
+// TestAnswersFitWhateverIsOwned gives a host more rows than an answer to a heartbeat holds, then fewer again. The fences
+// that the server sees must never fall.
+func TestAnswersFitWhateverIsOwned(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, _ := owner(1024)
+	now := ownership.Instant(time.Second)
+	orders, _ := m.Heartbeat(now, beat(1, nil))
+	size := 0
+	for _, grant := range orders.Grants {
+		size += len(fmt.Sprintf(`[%d,%d,%d,%q],`, grant.Span.From, grant.Span.To, grant.Fence, grant.Handover))
+	}
+	g.Expect(size).To(gomega.BeNumerically("<", 4050))
+	g.Expect(len(orders.Grants)).To(gomega.BeNumerically(">", 150))
+
+	all := striped(1024, 7)
+	for span, a := range striped(1024, 7).Keys.Runs() {
+		a.Owner = 0
+		all.Keys.Set(span, a)
+	}
+	m.Learn(now, all, 21)
+	merged, _ := m.Heartbeat(now+1, beat(2, orders.Grants))
+	m.Learn(now, striped(64, 7), 22)
+	again, _ := m.Heartbeat(now+2, beat(3, merged.Grants))
+	var seen keyspace.Map[ownership.Fence]
+	for _, grants := range [][]ownership.Grant{orders.Grants, merged.Grants, again.Grants} {
+		for _, grant := range grants {
+			for _, fence := range seen.Within(grant.Span) {
+				g.Expect(grant.Fence).To(gomega.BeNumerically(">=", fence))
+			}
+		}
+		for _, grant := range grants {
+			seen.Set(grant.Span, grant.Fence)
+		}
+	}
+}
+
+// TestUnacceptedKeysGetHigherFences is a server that has seen a higher fence than a restarted daemon knows of.
+func TestUnacceptedKeysGetHigherFences(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, record := owner(4)
+	now := ownership.Instant(10 * time.Second)
+	m.Renewed(now, now)
+	var writes []ownership.WriteRecord
+	for sequence := range uint64(4) {
+		_, effects := m.Heartbeat(now+ownership.Instant(sequence), beat(sequence+1, nil))
+		for _, e := range effects {
+			if w, ok := e.(ownership.WriteRecord); ok {
+				writes = append(writes, w)
+			}
+		}
+	}
+	g.Expect(writes).To(gomega.HaveLen(1))
+	raised, err := ownership.Decode(writes[0].Txn.Puts[0].Value)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(raised.Keys.At(0).Fence).To(gomega.Equal(record.Generation + 1))
+	g.Expect(raised.Owner(0)).To(gomega.Equal(ownership.HostID("a")))
+}
+
+// TestAnswerToAnEarlierWrite is walk 1433: a refusal of a write that was settled by gossip must not settle the next one.
+func TestAnswerToAnEarlierWrite(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, _ := owner(4)
+	now := ownership.Instant(20 * time.Second)
+	m.Renewed(now, now)
+	m.SetPeers(now, []ownership.Peer{
+		{Host: "a", IsPresent: true, IsEligible: true, Instance: life},
+		{Host: "b", IsPresent: true, IsEligible: true},
+	})
+	first := writeOf(m.SetServer(now, ownership.ServerEnded))
+	g.Expect(first).NotTo(gomega.BeNil())
+	second := writeOf(m.Learn(now+1, striped(4, 2), 21))
+	g.Expect(second).NotTo(gomega.BeNil())
+	g.Expect(second.Token).NotTo(gomega.Equal(first.Token))
+	m.WriteDone(now+2, ownership.WriteResult{Token: first.Token, Fate: ownership.WriteConflict})
+	orders, _ := m.Heartbeat(now+3, beat(1, nil))
+	g.Expect(orders.Grants).To(gomega.BeEmpty(), "the second write may still give the keys away")
+}
+
+func writeOf(effects []ownership.Effect) *ownership.WriteRecord {
+	for _, e := range effects {
+		if w, ok := e.(ownership.WriteRecord); ok {
+			return &w
+		}
+	}
+	return nil
+}
+
+func TestNothingIsGrantedBeyondAuthority(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, _ := owner(4)
+	timing := ownership.DefaultTiming()
+	end := ownership.Instant(1).Add(timing.Authority)
+	for sequence, left := range []time.Duration{5 * time.Second, time.Second, 300 * time.Millisecond, 100 * time.Millisecond, -1} {
+		orders, _ := m.Heartbeat(end.Add(-left), beat(uint64(sequence)+1, nil))
+		slowest := time.Duration(1.02 * float64(orders.Hold))
+		g.Expect(slowest).To(gomega.BeNumerically("<=", max(0, left)))
+	}
+}
+
+var _ store.Store = (*store.Memory)(nil)
--- /dev/null
+++ b/peer/hop_test.go
@@ -0,0 +1,124 @@
+package peer_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/onsi/gomega"
+
+	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/peer"
+)
+
+// owner answers all calls alike and keeps them.
+type owner struct {
+	answer call.Answer
+	calls  []call.Call
+}
+
+func (o *owner) Run(_ context.Context, c call.Call) call.Answer {
+	o.calls = append(o.calls, c)
+	return o.answer
+}
+
+// hop sends a call to the daemon of host "h" and service "s", meant for some host.
+func hop(t *testing.T, o *owner, target ownership.HostID, change func(*call.Call)) call.Answer {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	server := httptest.NewServer(peer.HopHandler(o, "h", "s", clock, func(err error) { t.Log(err) }))
+	t.Cleanup(server.Close)
+	c := call.Call{
+		ID:       "id-1",
+		Class:    &class.Class{Name: "read", Rank: 3, Latency: 80 * time.Millisecond, Idempotent: true},
+		Service:  "s",
+		Origin:   "front",
+		Key:      9,
+		HasKey:   true,
+		Method:   http.MethodPut,
+		URI:      "/a%2Fb//c?x=1&y",
+		Host:     "name.example",
+		Header:   http.Header{"X-End": {"2"}},
+		Body:     []byte("body"),
+		Deadline: clock.Now().Add(time.Second),
+	}
+	change(&c)
+	return peer.NewHopClient(func() {}, clock).Send(context.Background(), target, server.Listener.Addr().String(), c)
+}
+
+func same(*call.Call) {}
+
+func TestHopThereAndBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	load := &call.Load{Running: 1, Waiting: 2, Places: 3, Wait: 4 * time.Millisecond}
+	o := &owner{answer: call.Answer{
+		Outcome: class.Answered,
+		Status:  http.StatusCreated,
+		Header:  http.Header{"X-Own": {"1"}},
+		Body:    []byte("answer"),
+		Load:    load,
+	}}
+	a := hop(t, o, "h", same)
+	g.Expect(a.Outcome).To(gomega.Equal(class.Answered))
+	g.Expect(a.Status).To(gomega.Equal(http.StatusCreated))
+	g.Expect(string(a.Body)).To(gomega.Equal("answer"))
+	g.Expect(a.Header.Get("X-Own")).To(gomega.Equal("1"))
+	g.Expect(a.Load).To(gomega.Equal(load))
+	c := o.calls[0]
+	g.Expect(c.URI).To(gomega.Equal("/a%2Fb//c?x=1&y"))
+	g.Expect(c.Host).To(gomega.Equal("name.example"))
+	g.Expect(string(c.Body)).To(gomega.Equal("body"))
+	g.Expect(c.Header).To(gomega.HaveKey("X-End"))
+	g.Expect(c.Key).To(gomega.Equal(class.Key(9)))
+	g.Expect(c.Class.Latency).To(gomega.Equal(80 * time.Millisecond))
+	g.Expect(c.Class.Idempotent).To(gomega.BeTrue())
+	g.Expect(c.Origin).To(gomega.Equal(class.Service("front")))
+}
+
+func TestRefusalsComeBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	full := call.NotRun(call.Overload)
+	full.RetryAfter = 30 * time.Millisecond
+	a := hop(t, &owner{answer: full}, "h", same)
+	g.Expect(a.Outcome).To(gomega.Equal(class.NotRun))
+	g.Expect(a.Reason).To(gomega.Equal(call.Overload))
+	g.Expect(a.RetryAfter).To(gomega.Equal(30 * time.Millisecond))
+}
+
+// TestCallsForAnotherHost is an address that went from a lost host to a new one of another service.
+func TestCallsForAnotherHost(t *testing.T) {
+	for name, c := range map[string]struct {
+		target ownership.HostID
+		change func(*call.Call)
+	}{
+		"another host":    {target: "lost", change: same},
+		"another service": {target: "h", change: func(c *call.Call) { c.Service = "lost" }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			o := &owner{}
+			a := hop(t, o, c.target, c.change)
+			g.Expect(a.Reason).To(gomega.Equal(call.NotOwner))
+			g.Expect(o.calls).To(gomega.BeEmpty())
+		})
+	}
+}
+
+func TestDaemonThatIsGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewRealClock()
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	client := peer.NewHopClient(func() {}, clock)
+	c := call.Call{ID: "1", Class: &class.Class{}, Header: http.Header{}, Method: http.MethodGet, URI: "/", Deadline: clock.Now().Add(time.Second)}
+	a := client.Send(context.Background(), "h", server.Listener.Addr().String(), c)
+	g.Expect(a.Outcome).To(gomega.Equal(class.Unknown), "it was sent")
+	server.Close()
+	client.Keep(nil)
+	a = client.Send(context.Background(), "h", server.Listener.Addr().String(), c)
+	g.Expect(a.Reason).To(gomega.Equal(call.Unreachable))
+}
