--- a/admission/gate.go
+++ b/admission/gate.go
@@ -146,7 +146,7 @@
 	t.end(func(now time.Time) {
 		took := now.Sub(t.start)
 		t.gate.policy.Done(now, t.job, took)
-		t.gate.limit.Done(t.job.Class, took)
+		t.gate.limit.Done()
 	})
 }
 
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -1,65 +1,30 @@
 package admission
 
-import (
-	"time"
-
-	"github.com/skylarkrelay/skylarkrelay/class"
-)
-
 const (
-	// slowRatio is how far latency must rise above its usual level for the limit to shrink.
-	slowRatio = 2.0
-	// calmRatio is the level below which the limit grows again.
-	calmRatio = 1.4
-	// shrink is the factor by which the limit falls.
-	shrink = 0.9
-	// riseWeight and fallWeight let the usual latency rise slowly and fall fast.
-	riseWeight = 0.005
-	fallWeight = 0.1
-	// ratioWeight smooths the ratio.
-	ratioWeight = 0.1
+	// shedStep is by how much the limit falls for a job that the server refused, and shedFloor the part of the announced
+	// places that it keeps.
+	shedStep  = 0.25
+	shedFloor = 0.67
+	// growth is by how much the limit rises for each job that ran, as a part of one place.
+	growth = 0.05
 )
 
-// Limit learns how many jobs a backend server runs well at a time. It starts at what the server announced, never
-// goes above it, and by latency alone never below half of it.
+// Limit says how many jobs a backend server is given at a time: as many as it announced, and fewer for a while after it
+// refused some. Latency says nothing here: a job may be slow because of what it calls, and fewer jobs would not help it.
 type Limit struct {
 	told    float64
 	current float64
-	usual   map[class.Name]float64
-	ratio   float64
 }
 
 // NewLimit returns the limit of a server that announced a number of places.
-func NewLimit(told int) *Limit {
-	return &Limit{told: float64(told), current: float64(told), usual: map[class.Name]float64{}, ratio: 1}
-}
+func NewLimit(told int) *Limit { return &Limit{told: float64(told), current: float64(told)} }
 
 // Current returns the limit.
 func (l *Limit) Current() int { return max(1, int(l.current+0.5)) }
 
-// Done takes in how long a job ran.
-func (l *Limit) Done(name class.Name, took time.Duration) {
-	usual, known := l.usual[name]
-	if !known {
-		l.usual[name] = took.Seconds()
-		return
-	}
-	if usual > 0 {
-		l.ratio += ratioWeight * (took.Seconds()/usual - l.ratio)
-	}
-	weight := riseWeight
-	if took.Seconds() < usual {
-		weight = fallWeight
-	}
-	l.usual[name] = usual + weight*(took.Seconds()-usual)
-	switch {
-	case l.ratio > slowRatio:
-		l.current = max(l.told/2, l.current*shrink)
-		l.ratio = calmRatio
-	case l.ratio < calmRatio:
-		l.current = min(l.told, l.current+1/l.told)
-	}
-}
+// Done takes note of a job that ran.
+func (l *Limit) Done() { l.current = min(l.told, l.current+growth) }
 
-// Shed takes note that the server refused a job for lack of room.
-func (l *Limit) Shed() { l.current = max(1, l.current-1) }
+// Shed takes note that the server refused a job for lack of room. It is never given more jobs than it has places, so one
+// that refuses still has room for most of them.
+func (l *Limit) Shed() { l.current = max(l.told*shedFloor, l.current-shedStep) }
--- a/admission/targets.go
+++ b/admission/targets.go
@@ -292,8 +292,10 @@
 	t.overloaded = t.isOverloaded(elapsed)
 	for _, l := range t.order {
 		rate := float64(l.offered) / elapsed.Seconds()
-		l.isFlooding = !l.hasDemand || rate > floodRatio*l.demand
-		if !t.overloaded {
+		// A class whose demand was never learned is taken as it comes: after a restart under full load nothing would be
+		// learned, and each class would be refused as a flood for as long as the load lasts.
+		l.isFlooding = l.hasDemand && rate > floodRatio*l.demand
+		if !t.overloaded || !l.hasDemand {
 			l.learn(rate)
 		}
 		l.offered = 0
--- a/caller/budget.go
+++ b/caller/budget.go
@@ -11,7 +11,15 @@
 
 // BudgetShare is the part of a retry budget that all daemons together may use. The rest covers calls that are counted
 // in another window than their retries.
-const BudgetShare = 0.7
+const BudgetShare = 0.6
+
+const (
+	// failureWeight is the weight of one answer in a service's rate of failures.
+	failureWeight = 0.02
+	// failureLimit is the rate from which on failed answers are no longer retried: a service that fails as a whole, for
+	// instance because one that it calls does, is not helped by running its work twice.
+	failureLimit = 0.15
+)
 
 // BudgetLimits are the figures of the retry budget of one service, over all daemons.
 type BudgetLimits struct {
@@ -37,6 +45,8 @@
 type savings struct {
 	tokens float64
 	at     time.Time
+	// failureRate is the part of the service's answers that were failures, lately.
+	failureRate float64
 }
 
 // NewBudget returns a full budget.
@@ -59,6 +69,24 @@
 	s.tokens = min(b.most(), s.tokens+BudgetShare*b.limits.Ratio)
 }
 
+// Answered takes note of an answer of the service.
+func (b *Budget) Answered(service class.Service, isFailure bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.refilled(service)
+	s.failureRate *= 1 - failureWeight
+	if isFailure {
+		s.failureRate += failureWeight
+	}
+}
+
+// IsFailing tells whether the service fails as a whole.
+func (b *Budget) IsFailing(service class.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.refilled(service).failureRate > failureLimit
+}
+
 // Spend takes the right to send a call once more, if there is any left.
 func (b *Budget) Spend(service class.Service) bool {
 	b.mu.Lock()
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -191,6 +191,21 @@
 	g.Expect(s.asked).To(gomega.BeEmpty())
 }
 
+// TestFailingServiceIsNotRetried is a service whose work fails because one that it calls does: each retry would add calls
+// to that one, which count as retries there.
+func TestFailingServiceIsNotRetried(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: time.Second, Daemons: 1}, clockwork.NewFakeClock())
+	for i := range 200 {
+		b.Answered("s", i%20 == 0)
+	}
+	g.Expect(b.IsFailing("s")).To(gomega.BeFalse(), "one in twenty")
+	for i := range 200 {
+		b.Answered("s", i%2 == 0)
+	}
+	g.Expect(b.IsFailing("s")).To(gomega.BeTrue(), "one in two")
+}
+
 func TestBudgetIsSharedByDaemons(t *testing.T) {
 	g := gomega.NewWithT(t)
 	clock := clockwork.NewFakeClock()
@@ -206,6 +221,6 @@
 			retries++
 		}
 	}
-	g.Expect(retries*daemons).To(gomega.BeNumerically("<=", limits.Ratio*float64(calls*daemons)+limits.Slack))
+	g.Expect(retries * daemons).To(gomega.BeNumerically("<=", limits.Ratio*float64(calls*daemons)+limits.Slack))
 	g.Expect(retries).To(gomega.BeNumerically(">", calls/10))
 }
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -172,7 +172,8 @@
 		return finish
 	default:
 		isFailure := j.last.Status >= leastServerError
-		if isFailure && j.call.Class.Idempotent && hasAttempts && r.hasTime(j) {
+		r.budget.Answered(j.call.Service, isFailure)
+		if isFailure && !r.budget.IsFailing(j.call.Service) && j.call.Class.Idempotent && hasAttempts && r.hasTime(j) {
 			return elsewhere
 		}
 		return finish
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -3,9 +3,12 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/skylarkrelay/skylarkrelay/admission"
+	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/experiment"
 )
 
@@ -63,3 +66,28 @@
 	s := experiment.Scenarios(experiment.Mixes()[0], 7)[1]
 	g.Expect(experiment.Measure(s, "targets")).To(gomega.Equal(experiment.Measure(s, "targets")))
 }
+
+// TestStartUnderFullLoad is a daemon that restarts while callers ask for slightly more than its server can do. It has
+// learned nothing yet, and still has to keep the server as busy as a plain queue does.
+func TestStartUnderFullLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ms := time.Millisecond
+	scenario := experiment.Scenario{
+		Name: "start-under-full-load",
+		Work: []experiment.Work{
+			{Class: class.Class{Name: "browse", Rank: 1, Latency: 200 * ms, Timeout: 800 * ms, Success: 0.95}, Rate: 55, Service: 60 * ms},
+			{Class: class.Class{Name: "order", Rank: 2, Latency: 500 * ms, Timeout: time.Second, Success: 0.95}, Rate: 42, Service: 78 * ms},
+		},
+		Length: 20 * time.Second,
+		Seed:   3,
+	}
+	run := experiment.Simulate(scenario, admission.NewTargets(6))
+	answered := 0
+	for _, s := range run.Samples {
+		if s.Answered {
+			answered++
+		}
+	}
+	// The server can do about nine tenths of what is asked.
+	g.Expect(float64(answered) / float64(len(run.Samples))).To(gomega.BeNumerically(">", 0.8))
+}
