--- a/backend/runner.go
+++ b/backend/runner.go
@@ -54,6 +54,8 @@
 	gate    *admission.Gate
 	current atomic.Pointer[state]
 	running atomic.Int64
+	// suspect is told of calls that found nobody at the server's address. It must not block.
+	suspect func()
 
 	mu sync.Mutex
 	// worked holds how long calls of each key have run since it was last asked for.
@@ -61,9 +63,10 @@
 	busy   time.Duration
 }
 
-// NewRunner returns a runner without a permit.
-func NewRunner(gate *admission.Gate, clock clockwork.Clock) *Runner {
-	r := &Runner{clock: clock, gate: gate, worked: map[class.Key]time.Duration{}}
+// NewRunner returns a runner without a permit. It tells suspect, which must not block, of calls that found nobody at the
+// server's address.
+func NewRunner(gate *admission.Gate, suspect func(), clock clockwork.Clock) *Runner {
+	r := &Runner{clock: clock, gate: gate, suspect: suspect, worked: map[class.Key]time.Duration{}}
 	r.current.Store(&state{replaced: make(chan struct{})})
 	return r
 }
@@ -158,6 +161,9 @@
 	r.running.Add(1)
 	answer := s.client.Do(ctx, c, s.Instance)
 	r.running.Add(-1)
+	if answer.Reason == call.Unreachable {
+		r.suspect()
+	}
 	took := r.clock.Since(start)
 	r.mu.Lock()
 	r.busy += took
--- a/caller/balancer.go
+++ b/caller/balancer.go
@@ -106,13 +106,6 @@
 	return usable
 }
 
-// isOut tells whether a server is ejected now.
-func (b *balancer) isOut(host ownership.HostID) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.clock.Now().Before(b.standing(host).outUntil)
-}
-
 // score tells how long a call would take: the lower the better.
 func (b *balancer) score(s *Server) float64 {
 	now := b.clock.Now()
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,204 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/onsi/gomega"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/platform"
+	"github.com/skylarkrelay/skylarkrelay/settings"
+	"github.com/skylarkrelay/skylarkrelay/store"
+)
+
+func testSettings() settings.Settings {
+	return settings.Settings{
+		Host:          "h",
+		FailureDomain: "d",
+		Service:       "s",
+		Address:       "127.0.0.1",
+		FirstPort:     1,
+		Platform:      settings.Platform{Address: "127.0.0.1:1", Timeout: time.Second},
+		Backend: settings.Backend{
+			Address:           "127.0.0.1:2",
+			HeartbeatInterval: time.Second,
+			DrainTime:         2 * time.Second,
+			HoldMost:          10 * time.Second,
+		},
+		Log:      settings.Log{LinesPerSecond: 10},
+		Timeline: settings.Timeline{Events: 10},
+	}
+}
+
+// newDaemon returns a daemon whose control goroutine runs on a store in memory.
+func newDaemon(t *testing.T, s store.Store) *Daemon {
+	t.Helper()
+	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewRealClock()})
+	d.control.store = s
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.control.run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		d.control.wait()
+	})
+	// The first work is done once the goroutine has its context.
+	done := make(chan struct{})
+	d.control.inbox <- func(ownership.Instant) { close(done) }
+	<-done
+	return d
+}
+
+// deafStore answers its first watch without events, at a revision at which there were some.
+type deafStore struct {
+	*store.Memory
+	change  func()
+	watches int
+	read    chan struct{}
+}
+
+func (s *deafStore) Watch(ctx context.Context, prefix string, after store.Revision) (store.Snapshot, error) {
+	s.watches++
+	if s.watches == 1 {
+		s.change()
+		return store.Snapshot{Revision: after + 1}, nil
+	}
+	return s.Memory.Watch(ctx, prefix, after)
+}
+
+func (s *deafStore) Get(ctx context.Context, key string) (store.Item, error) {
+	item, err := s.Memory.Get(ctx, key)
+	if key == platform.ConfigKey && s.watches > 0 {
+		close(s.read)
+	}
+	return item, err
+}
+
+func putConfig(t *testing.T, m *store.Memory, version class.Version) {
+	t.Helper()
+	data, err := platform.EncodeConfig(&class.Config{Version: version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := store.Txn{Puts: []store.Put{{Key: platform.ConfigKey, Value: data}}}
+	if _, err := m.Commit(context.Background(), put); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestMissedChangesAreRead is a store whose watch was deaf while a configuration was written.
+func TestMissedChangesAreRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	memory := store.NewMemory(clockwork.NewRealClock())
+	putConfig(t, memory, 1)
+	s := &deafStore{Memory: memory, change: func() { putConfig(t, memory, 5) }, read: make(chan struct{})}
+	d := newDaemon(t, s)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.control.runStore(ctx) }()
+	<-s.read
+	g.Eventually(func() class.Version {
+		if c := d.entry.Config(); c != nil {
+			return c.Version
+		}
+		return 0
+	}).Should(gomega.Equal(class.Version(5)))
+	cancel()
+	g.Expect(<-ended).NotTo(gomega.HaveOccurred())
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	memory := store.NewMemory(clockwork.NewRealClock())
+	d := newDaemon(t, memory)
+	for _, version := range []class.Version{3, 2, 7, 1} {
+		putConfig(t, memory, version)
+		item, err := memory.Get(context.Background(), platform.ConfigKey)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		done := make(chan struct{})
+		d.control.post(context.Background(), func(now ownership.Instant) {
+			d.control.acceptAll(now, []store.Item{item})
+			close(done)
+		})
+		<-done
+	}
+	g.Expect(d.entry.Config().Version).To(gomega.Equal(class.Version(7)))
+}
+
+func TestHeartbeatsOfOthersAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDaemon(t, store.NewMemory(clockwork.NewRealClock()))
+	send := func(change func(*ownership.Heartbeat)) error {
+		beat := ownership.Heartbeat{
+			Instance: ownership.Instance{ID: "i", Born: 5},
+			Address:  "127.0.0.1:2",
+			Service:  "s",
+			Places:   2,
+			Sequence: 4,
+		}
+		change(&beat)
+		_, err := heartbeats{d.control}.Heartbeat(context.Background(), beat)
+		return err
+	}
+	g.Expect(send(func(*ownership.Heartbeat) {})).To(gomega.Succeed())
+	stale := gomega.BeAssignableToTypeOf(&ownership.StaleError{})
+	foreign := gomega.BeAssignableToTypeOf(&foreignError{})
+	g.Expect(send(func(*ownership.Heartbeat) {})).To(stale, "the same once more")
+	g.Expect(send(func(b *ownership.Heartbeat) { b.Sequence = 3 })).To(stale, "a late one")
+	g.Expect(send(func(b *ownership.Heartbeat) { b.Sequence, b.Instance = 9, ownership.Instance{ID: "old", Born: 4} })).To(stale)
+	g.Expect(send(func(b *ownership.Heartbeat) { b.Sequence, b.Address = 9, "127.0.0.1:3" })).To(foreign)
+	g.Expect(send(func(b *ownership.Heartbeat) { b.Sequence, b.Service = 9, "t" })).To(foreign)
+	g.Expect(send(func(b *ownership.Heartbeat) { b.Sequence, b.Instance.Born = 1, 6 })).To(gomega.Succeed(), "the same id in a later life")
+	g.Expect(heartbeats{d.control}.Deregister(context.Background(), "i", 6)).To(gomega.Succeed())
+	g.Expect(send(func(b *ownership.Heartbeat) { b.Sequence, b.Instance.Born = 2, 6 })).To(stale, "after it has left")
+}
+
+// TestNewLimitsHoldForNewConnections changes limits while a connection is kept.
+func TestNewLimitsHoldForNewConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewRealClock()})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	l := newLimitedServer(handler, d.observer.httpErrors("test"))
+	ended := make(chan error, 1)
+	go func() { ended <- l.serve(listener) }()
+	kept := &http.Client{}
+	ask := func(c *http.Client, header int) int {
+		request, err := http.NewRequest(http.MethodGet, "http://"+listener.Addr().String()+"/", http.NoBody)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		for i := range header / 1000 {
+			request.Header.Add("X-Long-"+string(rune('a'+i)), string(make1000()))
+		}
+		response, err := c.Do(request)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer response.Body.Close()
+		_, err = io.Copy(io.Discard, response.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return response.StatusCode
+	}
+	g.Expect(ask(kept, 12000)).To(gomega.Equal(http.StatusOK))
+	l.setLimits(class.Limits{HeaderBytes: 1000})
+	g.Expect(ask(kept, 12000)).To(gomega.Equal(http.StatusOK), "the kept connection goes on")
+	g.Expect(ask(&http.Client{Transport: &http.Transport{}}, 12000)).To(gomega.Equal(http.StatusRequestHeaderFieldsTooLarge))
+	_ = listener.Close() // it may be closed already
+	l.close()
+	g.Expect(<-ended).NotTo(gomega.HaveOccurred())
+}
+
+func make1000() []byte {
+	b := make([]byte, 1000)
+	for i := range b {
+		b[i] = 'x'
+	}
+	return b
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -242,13 +242,18 @@
 	}
 }
 
-// suspectServer has the server's address tried at once: a call found nobody there.
+// suspectServer has the server's address tried at once: a call found nobody there. It may be called from any goroutine and
+// does not block; of many calls that fail at once only one matters.
 func (c *control) suspectServer() {
-	c.post(c.ctx, func(now ownership.Instant) {
-		if !c.server.isProbing && now >= c.server.probeAt {
+	try := func(now ownership.Instant) {
+		if !c.server.isProbing && now >= c.server.probeAt && c.server.state != ownership.ServerEnded {
 			c.probe(now)
 		}
-	})
+	}
+	select {
+	case c.inbox <- try:
+	default: // the regular look comes anyway
+	}
 }
 
 // probe tries to connect to the server. A refusal means that its process is gone.
--- /dev/null
+++ b/daemon/watch.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/skylarkrelay/skylarkrelay/membership"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/platform"
+	"github.com/skylarkrelay/skylarkrelay/store"
+)
+
+// runStore reads what the store has, and watches it while this daemon is one of the watchers. It runs on its own
+// goroutine.
+func (c *control) runStore(ctx context.Context) error {
+	pause := storeRetry
+	for ctx.Err() == nil {
+		revision, err := c.readAll(ctx)
+		if err == nil {
+			pause = storeRetry
+			err = c.watch(ctx, revision)
+		}
+		if err != nil && ctx.Err() == nil {
+			c.log.Info("store not read", "error", err)
+			c.sleep(ctx, pause)
+			pause = min(2*pause, storeRetryMost)
+		}
+	}
+	return nil
+}
+
+// readAll reads the configuration and all values of this system.
+func (c *control) readAll(ctx context.Context) (store.Revision, error) {
+	own, err := c.store.List(ctx, c.layout.Prefix)
+	if err != nil {
+		return 0, err
+	}
+	config, err := c.store.Get(ctx, platform.ConfigKey)
+	if err != nil {
+		return 0, err
+	}
+	c.post(ctx, func(now ownership.Instant) {
+		c.acceptAll(now, append(own.Items, config))
+		c.forget(now, own)
+		c.settle(now)
+	})
+	return own.Revision, nil
+}
+
+func (c *control) acceptAll(now ownership.Instant, items []store.Item) {
+	for _, item := range items {
+		c.learn(now, membership.Entry{
+			Key:       item.Key,
+			Version:   membership.Version(item.Revision),
+			Data:      item.Value,
+			IsDeleted: item.IsDeleted,
+		})
+	}
+}
+
+// forget marks the values that a whole read did not find as gone.
+func (c *control) forget(now ownership.Instant, read store.Snapshot) {
+	found := map[string]bool{}
+	for _, item := range read.Items {
+		found[item.Key] = true
+	}
+	for _, e := range c.board.Under(c.layout.Prefix) {
+		isOlder := e.Version < membership.Version(read.Revision)
+		if !found[e.Key] && isOlder {
+			c.learn(now, membership.Entry{Key: e.Key, Version: membership.Version(read.Revision), IsDeleted: true})
+		}
+	}
+}
+
+// watch follows the changes while this daemon is a watcher. It returns an error when it lost track.
+func (c *control) watch(ctx context.Context, revision store.Revision) error {
+	for ctx.Err() == nil {
+		if !c.shouldWatch(ctx) {
+			c.sleep(ctx, storeRetryMost)
+			if c.shouldWatch(ctx) {
+				return nil // reads afresh: the history since may be long
+			}
+			continue
+		}
+		changes, err := c.store.Watch(ctx, "", revision)
+		var compacted *store.CompactedError
+		if errors.As(err, &compacted) {
+			c.log.Warn("store forgot its history", "after", compacted.After)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if len(changes.Items) == 0 && changes.Revision > revision {
+			// All changes are watched, so some were made that the watch did not hear.
+			c.log.Warn("watch missed changes", "after", revision, "revision", changes.Revision)
+			return nil
+		}
+		revision = max(revision, changes.Revision)
+		c.post(ctx, func(now ownership.Instant) {
+			c.acceptAll(now, changes.Items)
+			c.settle(now)
+		})
+	}
+	return nil
+}
+
+// shouldWatch tells whether this daemon watches the store: it is one of the first of its failure domain, or hears
+// nothing from others.
+func (c *control) shouldWatch(ctx context.Context) bool {
+	answer := make(chan bool, 1)
+	c.post(ctx, func(now ownership.Instant) { answer <- c.isWatcher(now) })
+	select {
+	case is := <-answer:
+		return is
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *control) isWatcher(now ownership.Instant) bool {
+	if now.Sub(c.spread.heardAt) > deafTime || c.config == nil {
+		return true
+	}
+	var ranks []uint64
+	own := xxhash.Sum64String(string(c.self))
+	for _, p := range c.presences() {
+		isAlive := p.Host == c.self || now.Sub(c.spread.announcedAt[p.Host]) < deafTime
+		if p.Domain == c.daemon.settings.FailureDomain && isAlive {
+			ranks = append(ranks, xxhash.Sum64String(string(p.Host)))
+		}
+	}
+	slices.Sort(ranks)
+	return slices.Index(ranks, own) < watchersPerDomain
+}
+
+// presences returns the hosts that are registered, as far as is known.
+func (c *control) presences() []membership.Presence {
+	var found []membership.Presence
+	for _, e := range c.board.Under(c.layout.Presence("")) {
+		p, err := membership.DecodeEntry[membership.Presence](e)
+		if err != nil {
+			c.observer.refused("presence", err)
+			continue
+		}
+		found = append(found, p)
+	}
+	return found
+}
+
+func (c *control) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-c.clock.After(d):
+	case <-ctx.Done():
+	}
+}
