--- a/caller/budget.go
+++ b/caller/budget.go
@@ -9,9 +9,9 @@
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
-// BudgetShare is the part of a retry budget that all daemons together may use. The rest covers calls that are counted
+// budgetShare is the part of a retry budget that all daemons together may use. The rest covers calls that are counted
 // in another window than their retries.
-const BudgetShare = 0.6
+const budgetShare = 0.6
 
 const (
 	// failureWeight is the weight of one answer in a service's rate of failures.
@@ -66,7 +66,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.refilled(service)
-	s.tokens = min(b.most(), s.tokens+BudgetShare*b.limits.Ratio)
+	s.tokens = min(b.most(), s.tokens+budgetShare*b.limits.Ratio)
 }
 
 // Answered takes note of an answer of the service.
@@ -101,7 +101,7 @@
 
 // most bounds what may be saved up: a daemon's part of the slack, and at least one retry.
 func (b *Budget) most() float64 {
-	return max(1, BudgetShare*b.limits.Slack/float64(max(1, b.limits.Daemons)))
+	return max(1, budgetShare*b.limits.Slack/float64(max(1, b.limits.Daemons)))
 }
 
 func (b *Budget) refilled(service class.Service) *savings {
--- a/class/class.go
+++ b/class/class.go
@@ -79,17 +79,3 @@
 	Services map[Service]ServiceSettings
 	Limits   Limits
 }
-
-// Of returns the classes that may go to a service.
-func (c *Config) Of(service Service) []Class {
-	var found []Class
-	for _, candidate := range c.Classes {
-		for _, d := range candidate.Destinations {
-			if d.Service == service {
-				found = append(found, candidate)
-				break
-			}
-		}
-	}
-	return found
-}
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -19,6 +19,9 @@
 	stopSignals = 2
 	// garbagePercent is how much the heap may grow between collections: twice the usual, since it is small.
 	garbagePercent = 200
+	// memoryShare is the part of the process's memory limit from which on garbage is collected harder. The rest is for
+	// what the collector does not see.
+	memoryShare = 0.7
 )
 
 // runCommand runs the daemon.
@@ -42,6 +45,9 @@
 		return err
 	}
 	debug.SetGCPercent(garbagePercent)
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
+	}
 	out := newLogWriter(c.streams.out)
 	defer out.Close()
 	log := hclog.New(&hclog.LoggerOptions{
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -61,9 +61,6 @@
 	if s.slowUntil > now {
 		a.WarmupMS = s.slowUntil.Sub(now).Milliseconds()
 	}
-	if isReady {
-		a.NextBeatMS = max(0, s.interval-now.Sub(s.beatAt)).Milliseconds()
-	}
 	return a
 }
 
--- a/membership/host.go
+++ b/membership/host.go
@@ -34,8 +34,6 @@
 	Load   float64 `json:"load"`
 	// WarmupMS is how much longer it is slow after its start.
 	WarmupMS int64 `json:"warmup_ms,omitempty"`
-	// NextBeat is in how many milliseconds its next heartbeat is expected; keys reach it then.
-	NextBeatMS int64 `json:"next_beat_ms,omitempty"`
 	// IsLeaving says that its daemon is stopping.
 	IsLeaving bool `json:"leaving,omitempty"`
 }
@@ -73,8 +71,6 @@
 	RenewInterval time.Duration
 	// Retry is the pause after a call that failed.
 	Retry time.Duration
-	// PeerAfter is for how long the store may refuse this host before its calls go through a peer.
-	PeerAfter time.Duration
 }
 
 // DefaultTiming returns the times for a store that answers in milliseconds.
@@ -83,6 +79,5 @@
 		LeaseTTL:      3500 * time.Millisecond,
 		RenewInterval: time.Second,
 		Retry:         150 * time.Millisecond,
-		PeerAfter:     500 * time.Millisecond,
 	}
 }
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -96,7 +96,6 @@
 	pending    *pendingWrite
 	lastToken  WriteToken
 	writeAfter Instant
-	conflicts  int
 
 	peers       []Peer
 	membersAt   Instant
@@ -195,7 +194,6 @@
 		m.pending = nil
 		if r.Nonce == p.record.Nonce {
 			effects = append(effects, p.events...)
-			m.conflicts = 0
 		}
 	}
 	// Keys that have a new owner are no longer this host's to give.
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -124,7 +124,6 @@
 // other copy of the write can land either.
 func (m *Machine) conflicted(now Instant, p *pendingWrite, result WriteResult) []Effect {
 	effects := []Effect{Event{Kind: EventRefused, Detail: "conflict over " + join(result.Changed)}}
-	m.conflicts++
 	m.writeAfter = now.Add(time.Duration(m.random.Int64N(int64(m.timing.Retry))))
 	if result.RecordRevision > p.base {
 		return append(append(effects, m.adopt(now, result.Record, result.RecordRevision)...), m.step(now)...)
--- a/settings/document.go
+++ b/settings/document.go
@@ -118,30 +118,13 @@
 		if !ok {
 			return nil, false
 		}
-		name, index := splitIndex(part)
-		if value, ok = table[name]; !ok {
+		if value, ok = table[part]; !ok {
 			return nil, false
 		}
-		if index >= 0 {
-			value = value.([]any)[index]
-		}
 	}
 	return value, true
 }
 
-// splitIndex splits "class[2]" into "class" and 2.
-func splitIndex(part string) (string, int) {
-	open := strings.IndexByte(part, '[')
-	if open < 0 {
-		return part, -1
-	}
-	index, err := strconv.Atoi(strings.TrimSuffix(part[open+1:], "]"))
-	if err != nil {
-		return part, -1
-	}
-	return part[:open], index
-}
-
 // field returns a field as a type, or its default. A missing field without a default is a problem.
 func field[T any](d *document, name, kind string, fallback *T) T {
 	var zero T
