--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -199,9 +199,21 @@
 
 // isFree tells whether the backend server surely holds none of some keys.
 func (m *Machine) isFree(now Instant, span keyspace.Span) bool {
-	if now < m.unknownUntil {
-		return false
+	return now >= m.unknownUntil && m.holdsNone(now, span)
+}
+
+// isFreeOfEarlierLives tells whether some keys are free for a new life of the backend server, where the record still names
+// an earlier one. Keys are granted only to the life that the record names, and the earlier one has ended where this one
+// was born later: nobody can have granted anything to this one.
+func (m *Machine) isFreeOfEarlierLives(now Instant, span keyspace.Span, named Instance) bool {
+	if m.instance.Born > named.Born {
+		return m.holdsNone(now, span)
 	}
+	return m.isFree(now, span)
+}
+
+// holdsNone tells whether the backend server holds none of some keys, as far as this daemon knows.
+func (m *Machine) holdsNone(now Instant, span keyspace.Span) bool {
 	for _, h := range m.held.Within(span) {
 		if h.until > now {
 			return false
--- a/ownership/machine_test.go
+++ b/ownership/machine_test.go
@@ -162,3 +162,18 @@
 }
 
 var _ store.Store = (*store.Memory)(nil)
+
+// TestNewLifeAfterARestartNeedsNoWait is a host that lost power: daemon and server are both new. Nobody can have granted
+// the new server anything, so its keys need not wait for a hold that an earlier daemon might have granted.
+func TestNewLifeAfterARestartNeedsNoWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, record := owner(4)
+	later := beat(1, nil)
+	later.Instance.Born++
+	_, effects := m.Heartbeat(ownership.Instant(20*time.Millisecond), later)
+	w := writeOf(effects)
+	g.Expect(w).NotTo(gomega.BeNil())
+	raised, err := ownership.Decode(w.Txn.Puts[0].Value)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(raised.Keys.At(0).Fence).To(gomega.Equal(record.Generation + 1))
+}
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -252,7 +252,7 @@
 		if a.Owner != self {
 			continue
 		}
-		if !m.isFree(now, span) {
+		if !m.isFreeOfEarlierLives(now, span, d.record.Members[self].Instance) {
 			return // an earlier daemon's grants may still be in force
 		}
 		d.record.assign(span, self, "")
