--- a/standin/deployment/ledger.go
+++ b/standin/deployment/ledger.go
@@ -29,11 +29,9 @@
 	return &Ledger{held: map[ownership.Instance]*keyspace.Map[grip]{}, runs: map[string]int{}}
 }
 
-// granted checks that nobody else holds the keys, and that the fence is above those of others.
-func (l *Ledger) granted(to ownership.Instance, g ownership.Grant, until time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
+// granted checks that nobody else holds the keys, and that the fence is above those of others. The lock is held by the
+// caller, for all rows of one answer.
+func (l *Ledger) granted(to ownership.Instance, g ownership.Grant, until, now time.Time) {
 	for other, holds := range l.held {
 		if other == to {
 			continue
@@ -57,9 +55,8 @@
 	l.held[to].Set(g.Span, grip{until: until, fence: g.Fence})
 }
 
+// released takes note of keys that a server gave up. The lock is held by the caller.
 func (l *Ledger) released(by ownership.Instance, span keyspace.Span) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.held[by] != nil {
 		l.held[by].Set(span, grip{})
 	}
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -171,7 +171,10 @@
 	if orders.Hold <= 0 {
 		return false
 	}
+	// All at one moment: a server that took orders row by row, slowly, would take the last ones after they had run out.
 	until := sent.Add(orders.Hold)
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
 	now := time.Now()
 	if now.Sub(sent) > beatTimeout || !until.After(now) {
 		return false // taken too late: a hold counts from the sending of its heartbeat
@@ -182,9 +185,9 @@
 		if s.accepts(g) {
 			s.holds.Set(g.Span, grip{until: until, fence: g.Fence})
 			s.seen.Set(g.Span, g.Fence)
-			s.ledger.granted(s.instance, g, until)
+			s.ledger.granted(s.instance, g, until, now)
 		} else {
-			s.ledger.report("%s was given %d to %d under fence %d, below one it had", s.instance, g.Span.From, g.Span.To, g.Fence)
+			s.ledger.fail("%s was given %d to %d under fence %d, below one it had", s.instance, g.Span.From, g.Span.To, g.Fence)
 		}
 	}
 	holds := s.holds.Clone()
