--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -503,6 +503,9 @@
 	return txn
 }
 
+// hostIndex returns the number of a host.
+func hostIndex(id ownership.HostID) int { return int(id[1] - '0') }
+
 func (w *world) endLease(h *worldHost, lost ownership.HostID) {
 	ctx := context.Background()
 	var item store.Item
@@ -522,6 +525,9 @@
 			if err != nil || w.flaw == leaseNotEnded {
 				return err
 			}
+			if w.random.IntN(3) == 0 { // the lost host is cut off just then and does not hear of it
+				w.hosts[hostIndex(lost)].cutUntil = w.now + worldTiming().Authority
+			}
 			return w.store.Revoke(ctx, lease)
 		}, func(err error) {
 			if err != nil {
