--- a/daemon/control.go
+++ b/daemon/control.go
@@ -38,7 +38,9 @@
 	self     ownership.HostID
 	service  class.Service
 
-	store  store.Store
+	store store.Store
+	// direct is the store without the way through other daemons.
+	direct store.Store
 	board  *membership.Board
 	pool   *peer.Pool
 	table  *caller.Table
@@ -91,7 +93,8 @@
 	}
 	c.spread = newSpreadState(o.Boot.Now())
 	c.server = newServerState(d.settings, o.Boot.Now())
-	c.store = d.newStore(c.peerControls)
+	reached := d.newStore(c.peerControls)
+	c.store, c.direct = reached, reached.direct
 	return c
 }
 
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -316,8 +316,7 @@
 // Store implements peer.Handler.
 func (g gossip) Store(ctx context.Context, call peer.StoreCall) peer.StoreAnswer {
 	g.control.observer.counter("store.calls_for_peers").inc()
-	direct := g.control.store.(*fallbackStore).direct
-	return peer.MakeStoreCall(ctx, direct, call)
+	return peer.MakeStoreCall(ctx, g.control.direct, call)
 }
 
 // Broken implements peer.Handler.
