perf: announcements go in rounds, records as changes, hosts are decoded once

Each announcement was passed on alone, by each daemon, to five others and to each other failure domain, and each one made every daemon decode all presences and announcements again; each record of some 30 kB was sent whole for each move.

Now: membership.Roster decodes once and tells changes from repeats; repeats go every 300 ms in one message; records spread as the rows whose fence was raised lately (ownership.Delta); differing digests are repaired only when news is not on its way; announcements become rarer with the size of the mesh.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -42,6 +43,9 @@
 	// direct is the store without the way through other daemons.
 	direct store.Store
 	board  *membership.Board
+	roster *membership.Roster
+	// peers holds the control addresses of the other hosts, for any goroutine.
+	peers atomic.Pointer[[]string]
 	pool   *peer.Pool
 	table  *caller.Table
 	relay  *caller.Relay
@@ -62,8 +66,10 @@
 	loads     loadMeter
 	permitted permitState
 	// isDirty says that routes have to be computed again.
-	isDirty   bool
-	isLeaving bool
+	isDirty     bool
+	isLeaving   bool
+	isRepairing bool
+	peersAt     ownership.Instant
 }
 
 func newControl(d *Daemon, o Options, table *caller.Table, relay *caller.Relay, budget *caller.Budget, seed uint64) *control {
@@ -79,7 +85,8 @@
 		layout:    layout,
 		self:      d.settings.Host,
 		service:   d.settings.Service,
-		board:     membership.NewBoard(isPassing),
+		board:     membership.NewBoard(),
+		roster:    membership.NewRoster(time.Duration(announcesMissed * float64(leastAnnounceInterval))),
 		table:     table,
 		relay:     relay,
 		budget:    budget,
@@ -157,6 +164,8 @@
 	if c.isDirty {
 		c.isDirty = false
 		c.updateRoutes(now)
+	} else if now.Sub(c.peersAt) > loadWindow {
+		c.updatePeers(now)
 	}
 	c.updatePermit(now)
 }
@@ -221,7 +230,7 @@
 		case ownership.EndLease:
 			c.endLease(effect.Host)
 		case ownership.Adopted:
-			c.adopted(effect)
+			c.adopted(now, effect)
 		case ownership.Event:
 			c.observer.ownershipEvent(c.service, effect)
 		}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -61,15 +61,14 @@
 		s.Generation = uint64(record.Generation)
 		s.Keys = held[c.service][c.self]
 	}
-	for _, p := range c.presences() {
-		a, isFresh := c.announcementOf(now, p.Host)
+	for _, h := range c.roster.Hosts() {
 		s.Hosts = append(s.Hosts, operator.HostStatus{
-			Host:          string(p.Host),
-			Service:       p.Service,
-			FailureDomain: string(p.Domain),
-			IsUsable:      isFresh && a.IsUsable,
-			Keys:          held[p.Service][p.Host],
-			Operator:      p.Operator,
+			Host:          string(h.Host),
+			Service:       h.Service,
+			FailureDomain: string(h.Domain),
+			IsUsable:      c.isFresh(h) && h.Announcement.IsUsable,
+			Keys:          held[h.Service][h.Host],
+			Operator:      h.Operator,
 		})
 	}
 	return s
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -122,18 +122,3 @@
 	}
 	return item.Revision, c.store.Revoke(ctx, lease)
 }
-
-// adopted spreads a newer record of this host's service.
-func (c *control) adopted(a ownership.Adopted) {
-	c.records[c.service] = a.Record
-	c.isDirty = true
-	data, err := a.Record.Encode()
-	if err != nil {
-		c.log.Error("record not spread", "error", err)
-		return
-	}
-	entry := membership.Entry{Key: c.layout.Record(c.service), Version: membership.Version(a.Revision), Data: data}
-	if c.board.Offer(entry) {
-		c.tell(entry)
-	}
-}
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"slices"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/backend"
@@ -15,97 +14,73 @@
 func (c *control) updateRoutes(now ownership.Instant) {
 	cells := map[class.Service][]caller.Server{}
 	hops := map[string]bool{}
-	var peers []ownership.Peer
-	for _, p := range c.knownHosts() {
-		a, isFresh := c.announcementOf(now, p.Host)
-		if a.Service != "" {
-			p.Service = a.Service
+	var controls []string
+	for _, h := range c.roster.Hosts() {
+		hops[h.Hop] = true
+		if h.Host != c.self {
+			controls = append(controls, h.Control)
 		}
-		hops[p.Hop] = true
-		cells[p.Service] = append(cells[p.Service], caller.Server{
-			Host:      p.Host,
-			Domain:    p.Domain,
-			Hop:       p.Hop,
-			IsUsable:  isFresh && a.IsUsable,
+		a := h.Announcement
+		service := serviceOf(h)
+		cells[service] = append(cells[service], caller.Server{
+			Host:      h.Host,
+			Domain:    h.Domain,
+			Hop:       h.Hop,
+			IsUsable:  c.isFresh(h) && a.IsUsable,
 			Instance:  a.Instance,
 			Places:    a.Places,
-			SlowUntil: c.clock.Now().Add(time.Duration(a.WarmupMS) * time.Millisecond),
+			SlowUntil: instantTime(c.clock, now, h.HeardAt.Add(time.Duration(a.WarmupMS)*time.Millisecond)),
 		})
-		if p.Service == c.service {
-			peers = append(peers, ownership.Peer{
-				Host:       p.Host,
-				IsPresent:  !c.board.Get(c.layout.Presence(p.Host)).IsDeleted,
-				IsEligible: isFresh && a.IsReady,
-				Instance:   a.Instance,
-				Places:     a.Places,
-				Load:       a.Load,
-			})
-		}
 	}
 	routes := caller.Routes{}
 	for service, servers := range cells {
 		isKeyed := c.config != nil && c.config.Services[service].IsKeyed
 		routes[service] = caller.NewCell(isKeyed, servers, c.records[service])
 	}
+	c.peers.Store(&controls)
 	c.table.Set(routes)
 	c.relay.Update(routes)
 	c.daemon.hops.Keep(hops)
 	c.budget.SetDaemons(len(hops))
 	if c.isKeyed() {
 		c.ownership(now, c.machine.SetServer(now, c.machineState()))
-		c.ownership(now, c.machine.SetPeers(now, peers))
 	}
+	c.updatePeers(now)
 }
 
-// knownHosts returns the registered hosts, and those whose presence the store has lost while they are still heard of.
-// Of several hosts with one address, the last that registered has it.
-func (c *control) knownHosts() []membership.Presence {
-	hosts := c.withoutReplaced(c.presences())
-	registered := map[ownership.HostID]bool{}
-	for _, p := range hosts {
-		registered[p.Host] = true
-		c.spread.lastPresence[p.Host] = p
+// updatePeers gives ownership the hosts of this service, with their load.
+func (c *control) updatePeers(now ownership.Instant) {
+	c.peersAt = now
+	if !c.isKeyed() {
+		return
 	}
-	for host, p := range c.spread.lastPresence {
-		if registered[host] {
+	var peers []ownership.Peer
+	for _, h := range c.roster.Hosts() {
+		if serviceOf(h) != c.service {
 			continue
 		}
-		_, isHeard := c.spread.announcedAt[host]
-		isReplaced := slices.ContainsFunc(hosts, func(h membership.Presence) bool { return h.Hop == p.Hop })
-		if isHeard && !isReplaced {
-			hosts = append(hosts, p)
-		} else {
-			delete(c.spread.lastPresence, host)
-		}
+		peers = append(peers, ownership.Peer{
+			Host:       h.Host,
+			IsPresent:  h.IsRegistered,
+			IsEligible: c.isFresh(h) && h.Announcement.IsReady,
+			Instance:   h.Announcement.Instance,
+			Places:     h.Announcement.Places,
+			Load:       h.Announcement.Load,
+		})
 	}
-	return hosts
+	c.ownership(now, c.machine.SetPeers(now, peers))
 }
 
-// withoutReplaced leaves out hosts whose address has gone to another one.
-func (c *control) withoutReplaced(hosts []membership.Presence) []membership.Presence {
-	newest := map[string]membership.Version{}
-	for _, p := range hosts {
-		newest[p.Hop] = max(newest[p.Hop], c.board.Get(c.layout.Presence(p.Host)).Version)
+// serviceOf returns the service of a host's backend server: what was heard of it last goes before its registration.
+func serviceOf(h *membership.Host) class.Service {
+	if h.Announcement.Service != "" {
+		return h.Announcement.Service
 	}
-	return slices.DeleteFunc(hosts, func(p membership.Presence) bool {
-		return c.board.Get(c.layout.Presence(p.Host)).Version < newest[p.Hop]
-	})
+	return h.Service
 }
 
-// announcementOf returns a host's newest announcement and whether it is fresh.
-func (c *control) announcementOf(now ownership.Instant, host ownership.HostID) (membership.Announcement, bool) {
-	e := c.board.Get(announcePrefix + string(host))
-	if e.Version == 0 {
-		return membership.Announcement{}, false
-	}
-	a, err := membership.DecodeEntry[membership.Announcement](e)
-	if err != nil {
-		c.observer.refused("announcement", err)
-		return membership.Announcement{}, false
-	}
-	at, isHeard := c.spread.announcedAt[host]
-	return a, host == c.self || isHeard && now.Sub(at) <= announceFresh
-}
+// isFresh tells whether a host's announcement counts. This daemon's own always does.
+func (c *control) isFresh(h *membership.Host) bool { return h.IsHeard || h.Host == c.self }
 
 // permitState is what the permit in force was made from.
 type permitState struct {
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -1,11 +1,11 @@
 package daemon
 
 import (
-	"context"
 	"encoding/json"
 	"strings"
 	"time"
 
+	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/peer"
@@ -15,115 +15,133 @@
 
 const (
 	// smallMesh is up to how many daemons of a failure domain are all told of news; among more, fanout random ones that
-	// pass it on.
+	// pass it on, which reaches 99 of 100.
 	smallMesh = 16
 	fanout    = 5
-	// watchersPerDomain is how many daemons of each failure domain watch the store.
-	watchersPerDomain = 1
+	// roundInterval is how often announcements that are no change are passed on, many in one message.
+	roundInterval = 300 * time.Millisecond
+	// roundFanout is to how many daemons each round goes: an epidemic that reaches 98 of 100.
+	roundFanout = 4
 	// repairInterval is how often a daemon compares what it knows with a random other one.
 	repairInterval = 700 * time.Millisecond
-	// deafTime is how long a daemon may hear nothing from others before it watches the store itself.
-	deafTime = 1500 * time.Millisecond
-	// announceInterval is how often a daemon tells of its backend server where nothing changes.
-	announceInterval = 900 * time.Millisecond
-	// announceFresh is how long an announcement counts.
-	announceFresh = 4 * time.Second
-	// storeRetry and storeRetryMost bound the wait after a failed watch or read.
-	storeRetry     = 150 * time.Millisecond
-	storeRetryMost = time.Second
-	// announcePrefix begins the keys of announcements. They are not in the store.
-	announcePrefix = "announce/"
+	// nearRepairShare is the part of these comparisons that stay in the failure domain: bytes between domains cost more.
+	nearRepairShare = 0.75
+	// settleTime is how long ago the last news must be before a difference is taken for a loss; patientDigests is after
+	// how many differences in a row it is taken for one anyway.
+	settleTime     = 600 * time.Millisecond
+	patientDigests = 3
+	// leastAnnounceInterval is how often a daemon tells of its backend server where nothing changes. In a large mesh it
+	// is announceShare for each host, so that the messages that a daemon gets do not grow with the mesh.
+	leastAnnounceInterval = 900 * time.Millisecond
+	announceShare         = 12 * time.Millisecond
+	// announcesMissed is after how many missed announcements a host counts as silent.
+	announcesMissed = 4.5
+	// smallEntry is up to what size watchers tell other failure domains of values that their own watchers should see.
+	smallEntry = 16 << 10
 )
 
 // spreadState is what the control goroutine knows of the spreading of news.
 type spreadState struct {
-	// heardAt is when the last message of another daemon came.
+	// heardAt is when the last message of another daemon came, and changedAt when the last value of the store was new.
 	heardAt    ownership.Instant
+	changedAt  ownership.Instant
+	roundAt    ownership.Instant
 	repairAt   ownership.Instant
 	announceAt ownership.Instant
+	// mismatches counts the digests in a row that differed.
+	mismatches int
 	// count numbers the announcements under one epoch.
 	count uint32
-	// announcedAt is when each host's newest announcement came.
-	announcedAt map[ownership.HostID]ownership.Instant
-	// lastPresence keeps the presence of hosts that the store has lost and that are still heard of.
-	lastPresence map[ownership.HostID]membership.Presence
+	// pending holds the announcements for the next round.
+	pending map[ownership.HostID]membership.Announcement
 }
 
 func newSpreadState(now ownership.Instant) spreadState {
-	return spreadState{
-		heardAt:      now,
-		announcedAt:  map[ownership.HostID]ownership.Instant{},
-		lastPresence: map[ownership.HostID]membership.Presence{},
-	}
+	return spreadState{heardAt: now, pending: map[ownership.HostID]membership.Announcement{}}
 }
 
-// accept takes in an entry from the store or another daemon, if it is newer and can be read.
-func (c *control) accept(now ownership.Instant, e membership.Entry) {
-	if e.Version <= c.board.Get(e.Key).Version || !c.understands(e) {
-		return
+// accept takes in a value of the store, if it is newer and can be read, and tells whether it did.
+func (c *control) accept(now ownership.Instant, e membership.Entry) bool {
+	if e.Version <= c.board.Get(e.Key).Version {
+		return false
 	}
-	if !c.board.Offer(e) {
-		return
+	apply, err := c.decode(e)
+	if err != nil {
+		c.observer.refused("entry "+e.Key, err)
 	}
-	c.apply(now, e)
+	if apply == nil || !c.board.Offer(e) {
+		return false
+	}
+	c.spread.changedAt = now
+	c.isDirty = true
+	apply(now)
+	return true
 }
 
-// learn takes in an entry that this daemon brings into its failure domain, and passes it on if it was news.
-func (c *control) learn(now ownership.Instant, e membership.Entry) {
-	before := c.board.Get(e.Key).Version
-	c.accept(now, e)
-	if c.board.Get(e.Key).Version > before {
-		c.tell(e)
+// decode reads a value of the store and returns what follows from it: nothing where it concerns no other daemon.
+func (c *control) decode(e membership.Entry) (func(now ownership.Instant), error) {
+	if e.Key == platform.ConfigKey && !e.IsDeleted {
+		config, err := platform.DecodeConfig(e.Data)
+		if err != nil {
+			return nil, err
+		}
+		return func(ownership.Instant) { c.acceptConfig(config, e.Version) }, nil
+	}
+	if host, ok := strings.CutPrefix(e.Key, c.layout.Presence("")); ok {
+		return c.decodePresence(ownership.HostID(host), e)
 	}
+	if !strings.HasPrefix(e.Key, c.layout.Record("")) {
+		return nil, nil //nolint:nilnil // epochs, and keys of others, are no news
+	}
+	if e.IsDeleted {
+		return func(ownership.Instant) {}, nil
+	}
+	record, err := ownership.Decode(e.Data)
+	if err != nil {
+		return nil, err
+	}
+	return func(now ownership.Instant) { c.acceptRecord(now, record, store.Revision(e.Version)) }, nil
 }
 
-// understands tells whether an entry is one of this system's and can be read.
-func (c *control) understands(e membership.Entry) bool {
+func (c *control) decodePresence(host ownership.HostID, e membership.Entry) (func(now ownership.Instant), error) {
 	if e.IsDeleted {
-		return strings.HasPrefix(e.Key, c.layout.Prefix)
-	}
-	var err error
-	switch {
-	case e.Key == platform.ConfigKey:
-		_, err = platform.DecodeConfig(e.Data)
-	case strings.HasPrefix(e.Key, c.layout.Record("")):
-		_, err = ownership.Decode(e.Data)
-	case strings.HasPrefix(e.Key, c.layout.Presence("")):
-		_, err = membership.DecodeEntry[membership.Presence](e)
-	case strings.HasPrefix(e.Key, announcePrefix):
-		_, err = membership.DecodeEntry[membership.Announcement](e)
-	default:
-		return false // epochs, and keys of others, concern no other daemon
+		return func(now ownership.Instant) {
+			c.roster.Unregister(host, e.Version)
+			if host == c.self && !c.isLeaving {
+				c.registration(now, c.registrar.PresenceGone(now, store.Revision(e.Version)))
+			}
+		}, nil
 	}
+	presence, err := membership.DecodeEntry[membership.Presence](e)
 	if err != nil {
-		c.observer.refused("entry "+e.Key, err)
+		return nil, err
 	}
-	return err == nil
+	presence.Host = host
+	return func(ownership.Instant) { c.roster.Register(presence, e.Version) }, nil
 }
 
-// apply does what follows from a newer entry.
-func (c *control) apply(now ownership.Instant, e membership.Entry) {
-	c.isDirty = true
-	switch {
-	case e.Key == platform.ConfigKey:
-		c.acceptConfig(e)
-	case strings.HasPrefix(e.Key, c.layout.Record("")):
-		c.acceptRecord(now, e)
-	case strings.HasPrefix(e.Key, announcePrefix):
-		host := ownership.HostID(strings.TrimPrefix(e.Key, announcePrefix))
-		c.spread.announcedAt[host] = now
-	case e.Key == c.layout.Presence(c.self):
-		c.acceptOwnEntry(now, e)
+// learn takes in values of the store that this daemon brings into its failure domain, and passes on what was news.
+func (c *control) learn(now ownership.Instant, entries ...membership.Entry) {
+	var news, abroad []membership.Entry
+	for _, e := range entries {
+		if !c.accept(now, e) {
+			continue
+		}
+		news = append(news, e)
+		if e.Key == platform.ConfigKey && len(e.Data) <= smallEntry {
+			abroad = append(abroad, e)
+		}
+	}
+	if len(news) > 0 {
+		c.tellNear(peer.News{Entries: news})
+	}
+	if len(abroad) > 0 {
+		c.tellFar(peer.News{Entries: abroad})
 	}
 }
 
 // acceptConfig puts a newer configuration in force. Its version never goes back.
-func (c *control) acceptConfig(e membership.Entry) {
-	config, err := platform.DecodeConfig(e.Data)
-	if err != nil {
-		c.observer.refused("configuration", err)
-		return
-	}
+func (c *control) acceptConfig(config *class.Config, version membership.Version) {
 	if c.config != nil && config.Version <= c.config.Version {
 		c.log.Warn("configuration ignored", "version", config.Version, "in_force", c.config.Version)
 		return
@@ -131,29 +149,71 @@
 	c.config = config
 	c.daemon.entry.SetConfig(config)
 	c.daemon.limits.setLimits(config.Limits)
-	c.observer.configInForce(config.Version, uint64(e.Version))
+	c.observer.configInForce(config.Version, uint64(version))
 }
 
-func (c *control) acceptRecord(now ownership.Instant, e membership.Entry) {
-	if e.IsDeleted {
-		return
+func (c *control) acceptRecord(now ownership.Instant, record *ownership.Record, revision store.Revision) {
+	c.records[record.Service] = record
+	if record.Service == c.service {
+		c.ownership(now, c.machine.Learn(now, record, revision))
 	}
-	record, err := ownership.Decode(e.Data)
+}
+
+// acceptChange takes in what changed in a record, and tells whether it was news. Where changes were missed, the whole
+// record is fetched from the sender.
+func (c *control) acceptChange(now ownership.Instant, from string, d ownership.Delta) bool {
+	key, version := c.layout.Record(d.Service), membership.Version(d.Revision)
+	if version <= c.board.Get(key).Version {
+		return false
+	}
+	known := c.records[d.Service]
+	if known == nil {
+		c.repair(from)
+		return false
+	}
+	record, err := known.Apply(d)
 	if err != nil {
-		c.observer.refused("record", err)
-		return
+		c.log.Info("change of a record not applied", "service", d.Service, "from", from, "error", err)
+		c.repair(from)
+		return false
 	}
-	c.records[record.Service] = record
-	if record.Service == c.service {
-		c.ownership(now, c.machine.Learn(now, record, store.Revision(e.Version)))
+	if !c.board.Offer(membership.Entry{Key: key, Version: version, Value: record}) {
+		return false
 	}
+	c.spread.changedAt = now
+	c.isDirty = true
+	c.acceptRecord(now, record, d.Revision)
+	return true
 }
 
-// acceptOwnEntry notices that the store has lost this host's presence.
-func (c *control) acceptOwnEntry(now ownership.Instant, e membership.Entry) {
-	if e.IsDeleted && !c.isLeaving {
-		c.registration(now, c.registrar.PresenceGone(now, store.Revision(e.Version)))
+// adopted spreads a newer record of this host's service.
+func (c *control) adopted(now ownership.Instant, a ownership.Adopted) {
+	before := c.records[c.service]
+	c.records[c.service] = a.Record
+	c.isDirty = true
+	entry := membership.Entry{
+		Key:     c.layout.Record(c.service),
+		Version: membership.Version(a.Revision),
+		Value:   a.Record,
+	}
+	if !c.board.Offer(entry) {
+		return // it came from others
 	}
+	c.spread.changedAt = now
+	news := peer.News{}
+	if before != nil {
+		news.Changes = []ownership.Delta{a.Record.Delta(before, a.Revision)}
+	} else {
+		data, err := a.Record.Encode()
+		if err != nil {
+			c.log.Error("record not spread", "error", err)
+			return
+		}
+		entry.Data = data
+		news.Entries = []membership.Entry{entry}
+	}
+	c.tellNear(news)
+	c.tellFar(news)
 }
 
 // acceptOwnPresence tells others of a new registration before a watch does.
@@ -170,172 +230,176 @@
 	})
 }
 
-// tell passes an entry on in this failure domain. What is not in the store goes to one daemon of each other domain too:
-// each domain has watchers of its own for the rest.
-func (c *control) tell(e membership.Entry) {
-	entries := []membership.Entry{e}
-	near, far := c.neighbours()
-	isRelayed := len(near) > smallMesh
-	if isRelayed {
-		c.shuffle(near)
-		near = near[:fanout]
-	}
-	for _, address := range near {
-		c.pool.Push(address, entries, isRelayed)
-	}
-	if !isPassing(e.Key) {
-		return
+// hear takes in announcements. Changes go on at once where the sender asks for it, the rest with the next round.
+func (c *control) hear(now ownership.Instant, announcements []membership.Announcement, isRelayed bool) {
+	var urgent []membership.Announcement
+	for _, a := range announcements {
+		news := c.roster.Hear(now, a)
+		if news == membership.Changed {
+			c.isDirty = true
+			urgent = append(urgent, a)
+		}
+		if news == membership.Repeated && isRelayed {
+			c.spread.pending[a.Host] = a
+		}
 	}
-	for _, addresses := range far {
-		c.pool.Push(addresses[c.random.IntN(len(addresses))], entries, true)
+	if len(urgent) > 0 && isRelayed {
+		c.tellNear(peer.News{Announcements: urgent})
 	}
 }
 
-// isPassing tells whether a value is told again and again by its owner and is not in the store.
-func isPassing(key string) bool { return strings.HasPrefix(key, announcePrefix) }
-
-// neighbours returns the control addresses of the other daemons of this failure domain, and those of the others.
-func (c *control) neighbours() ([]string, map[ownership.Domain][]string) {
-	var near []string
-	far := map[ownership.Domain][]string{}
-	for _, p := range c.knownHosts() {
-		switch {
-		case p.Host == c.self:
-		case p.Domain == c.daemon.settings.FailureDomain:
-			near = append(near, p.Control)
-		default:
-			far[p.Domain] = append(far[p.Domain], p.Control)
-		}
+// announce tells others of the backend server beside this daemon.
+func (c *control) announce(now ownership.Instant) {
+	hosts := len(c.roster.Hosts())
+	interval := max(leastAnnounceInterval, time.Duration(hosts)*announceShare)
+	c.roster.SetFresh(time.Duration(announcesMissed * float64(interval)))
+	c.spread.announceAt = now.Add(interval)
+	if c.epoch == 0 {
+		return
 	}
-	return near, far
-}
-
-func (c *control) shuffle(addresses []string) {
-	c.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-}
-
-// peerControls returns the control addresses of all other known hosts. It may be called from any goroutine.
-func (c *control) peerControls() []string {
-	var addresses []string
-	for _, e := range c.board.Under(c.layout.Presence("")) {
-		p, err := membership.DecodeEntry[membership.Presence](e)
-		if err == nil && p.Host != c.self {
-			addresses = append(addresses, p.Control)
-		}
+	c.spread.count++
+	a := c.server.announcement(now)
+	a.Host, a.Service = c.self, c.service
+	a.Epoch, a.Count = c.epoch, c.spread.count
+	a.Load = c.loads.load
+	a.IsLeaving = c.isLeaving
+	a.IsUsable = a.IsUsable && !c.isLeaving
+	a.IsReady = a.IsReady && !c.isLeaving
+	news := peer.News{Announcements: []membership.Announcement{a}}
+	isChange := c.roster.Hear(now, a) == membership.Changed
+	if isChange {
+		c.isDirty = true
 	}
-	if len(addresses) == 0 {
-		addresses = c.daemon.settings.SeedControls()
+	if near, _ := c.neighbours(); isChange || len(near) <= smallMesh {
+		c.tellNear(news)
+	} else {
+		c.spread.pending[c.self] = a
 	}
-	return addresses
+	c.tellFar(news)
 }
 
-// spreadTick announces and repairs.
+// spreadTick announces, passes on and repairs.
 func (c *control) spreadTick(now ownership.Instant) {
 	if now >= c.spread.announceAt {
 		c.announce(now)
 	}
+	if now >= c.spread.roundAt {
+		c.spread.roundAt = now.Add(roundInterval)
+		c.round()
+	}
 	if now >= c.spread.repairAt {
 		c.spread.repairAt = now.Add(repairInterval)
-		if peers := c.peerControls(); len(peers) > 0 {
-			c.pool.Digest(peers[c.random.IntN(len(peers))], c.board.Digest())
+		if partner := c.partner(); partner != "" {
+			c.pool.Digest(partner, c.board.Digest())
 		}
 	}
-	for host, at := range c.spread.announcedAt {
-		if now.Sub(at) > announceFresh {
-			delete(c.spread.announcedAt, host)
-			c.isDirty = true
-			c.log.Info("host is silent", "peer", host, "age_ms", now.Sub(at).Milliseconds())
-		}
+	for _, h := range c.roster.Expire(now) {
+		c.isDirty = true
+		c.log.Info("host is silent", "peer", h.Host, "age_ms", now.Sub(h.HeardAt).Milliseconds())
 	}
 }
 
-// announce tells others of the backend server beside this daemon.
-func (c *control) announce(now ownership.Instant) {
-	c.spread.announceAt = now.Add(announceInterval)
-	if c.epoch == 0 {
+// round passes on the announcements that were no change.
+func (c *control) round() {
+	if len(c.spread.pending) == 0 {
 		return
 	}
-	c.spread.count++
-	a := c.server.announcement(now)
-	a.Host, a.Service = c.self, c.service
-	a.Load = c.loads.load
-	a.IsLeaving = c.isLeaving
-	a.IsUsable = a.IsUsable && !c.isLeaving
-	a.IsReady = a.IsReady && !c.isLeaving
-	data, err := json.Marshal(a)
-	if err != nil {
-		c.log.Error("announcement not sent", "error", err)
-		return
+	announcements := make([]membership.Announcement, 0, len(c.spread.pending))
+	for _, a := range c.spread.pending {
+		announcements = append(announcements, a)
 	}
-	c.learn(now, membership.Entry{
-		Key:     announcePrefix + string(c.self),
-		Version: membership.AnnouncementVersion(c.epoch, c.spread.count),
-		Data:    data,
-	})
+	clear(c.spread.pending)
+	near, _ := c.neighbours()
+	isRelayed := len(near) > smallMesh
+	if isRelayed {
+		near = c.some(near, roundFanout)
+	}
+	c.push(near, peer.News{Announcements: announcements, Relay: isRelayed})
 }
 
-// heard takes note of a sign of life of another daemon.
-func (c *control) heard(now ownership.Instant) { c.spread.heardAt = now }
-
-// gossip serves the messages of other daemons.
-type gossip struct{ control *control }
+// partner returns the daemon to compare with next, or nothing.
+func (c *control) partner() string {
+	near, far := c.neighbours()
+	if len(near) > 0 && (len(far) == 0 || c.random.Float64() < nearRepairShare) {
+		return near[c.random.IntN(len(near))]
+	}
+	addresses := c.peerControls()
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[c.random.IntN(len(addresses))]
+}
 
-// Push implements peer.Handler.
-func (g gossip) Push(_ string, entries []membership.Entry, relay bool) {
-	c := g.control
-	c.post(c.ctx, func(now ownership.Instant) {
-		c.heard(now)
-		take := c.accept
-		if relay {
-			take = c.learn
-		}
-		for _, e := range entries {
-			take(now, e)
-		}
-		c.settle(now)
-	})
+// compare takes in what a peer's knowledge sums up to. News that is still on its way is no reason to ask for it.
+func (c *control) compare(now ownership.Instant, d peer.Digest) {
+	if d.Digest == c.board.Digest() {
+		c.spread.mismatches = 0
+		return
+	}
+	c.spread.mismatches++
+	isSettled := now.Sub(c.spread.changedAt) > settleTime
+	if c.config == nil || isSettled || c.spread.mismatches >= patientDigests {
+		c.spread.mismatches = 0
+		c.repair(d.From)
+	}
 }
 
-// Digest implements peer.Handler.
-func (g gossip) Digest(d peer.Digest) {
-	c := g.control
-	isSame := d.Digest == c.board.Digest()
-	c.post(c.ctx, func(now ownership.Instant) {
-		c.heard(now)
-		if !isSame {
-			c.repair(d.From)
-		}
-	})
+// tellNear passes news on in this failure domain.
+func (c *control) tellNear(news peer.News) {
+	near, _ := c.neighbours()
+	news.Relay = len(near) > smallMesh
+	if news.Relay {
+		near = c.some(near, fanout)
+	}
+	c.push(near, news)
 }
 
-// Newer implements peer.Handler.
-func (g gossip) Newer(than membership.Versions) []membership.Entry {
-	return g.control.board.Newer(than)
+// tellFar tells one daemon of each other failure domain, which tells its own.
+func (c *control) tellFar(news peer.News) {
+	_, far := c.neighbours()
+	news.Relay = true
+	var addresses []string
+	for _, domain := range far {
+		addresses = append(addresses, domain[c.random.IntN(len(domain))])
+	}
+	c.push(addresses, news)
 }
 
-// Store implements peer.Handler.
-func (g gossip) Store(ctx context.Context, call peer.StoreCall) peer.StoreAnswer {
-	g.control.observer.counter("store.calls_for_peers").inc()
-	return peer.MakeStoreCall(ctx, g.control.direct, call)
+func (c *control) push(to []string, news peer.News) {
+	if len(to) == 0 {
+		return
+	}
+	if err := c.pool.Push(to, news); err != nil {
+		c.log.Error("news not spread", "error", err)
+	}
 }
 
-// Broken implements peer.Handler.
-func (g gossip) Broken(err error) { g.control.observer.refused("message", err) }
+// some returns a few random ones of some addresses.
+func (c *control) some(addresses []string, count int) []string {
+	c.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(count, len(addresses))]
+}
 
-// repair fetches all that a peer knows better.
-func (c *control) repair(from string) {
-	versions := c.board.Versions()
-	c.async(func(ctx context.Context) func(ownership.Instant) {
-		entries, err := peer.Newer(ctx, from, versions)
-		if err != nil {
-			c.log.Debug("peer not asked", "peer", from, "error", err)
-			return nil
-		}
-		return func(now ownership.Instant) {
-			for _, e := range entries {
-				c.learn(now, e)
-			}
-			c.settle(now)
+// neighbours returns the control addresses of the other daemons of this failure domain, and those of the others.
+func (c *control) neighbours() ([]string, map[ownership.Domain][]string) {
+	var near []string
+	far := map[ownership.Domain][]string{}
+	for _, h := range c.roster.Hosts() {
+		switch {
+		case h.Host == c.self:
+		case h.Domain == c.daemon.settings.FailureDomain:
+			near = append(near, h.Control)
+		default:
+			far[h.Domain] = append(far[h.Domain], h.Control)
 		}
-	})
+	}
+	return near, far
+}
+
+// peerControls returns the control addresses of all other known hosts. It may be called from any goroutine.
+func (c *control) peerControls() []string {
+	if known := c.peers.Load(); known != nil && len(*known) > 0 {
+		return *known
+	}
+	return c.daemon.settings.SeedControls()
 }
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -14,6 +14,16 @@
 	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
+const (
+	// watchersPerDomain is how many daemons of each failure domain watch the store.
+	watchersPerDomain = 1
+	// deafTime is how long a daemon may hear nothing from others before it watches the store itself.
+	deafTime = 1500 * time.Millisecond
+	// storeRetry and storeRetryMost bound the wait after a failed watch or read.
+	storeRetry     = 150 * time.Millisecond
+	storeRetryMost = time.Second
+)
+
 // runStore reads what the store has, and watches it while this daemon is one of the watchers. It runs on its own
 // goroutine.
 func (c *control) runStore(ctx context.Context) error {
@@ -52,14 +62,16 @@
 }
 
 func (c *control) acceptAll(now ownership.Instant, items []store.Item) {
-	for _, item := range items {
-		c.learn(now, membership.Entry{
+	entries := make([]membership.Entry, len(items))
+	for i, item := range items {
+		entries[i] = membership.Entry{
 			Key:       item.Key,
 			Version:   membership.Version(item.Revision),
 			Data:      item.Value,
 			IsDeleted: item.IsDeleted,
-		})
+		}
 	}
+	c.learn(now, entries...)
 }
 
 // forget marks the values that a whole read did not find as gone.
@@ -128,30 +140,20 @@
 	}
 	var ranks []uint64
 	own := xxhash.Sum64String(string(c.self))
-	for _, p := range c.presences() {
-		isAlive := p.Host == c.self || now.Sub(c.spread.announcedAt[p.Host]) < deafTime
-		if p.Domain == c.daemon.settings.FailureDomain && isAlive {
-			ranks = append(ranks, xxhash.Sum64String(string(p.Host)))
+	alive := deafTime
+	if near, _ := c.neighbours(); len(near) > smallMesh {
+		alive += 2 * roundInterval // announcements come round by round
+	}
+	for _, h := range c.roster.Hosts() {
+		isAlive := h.Host == c.self || h.IsHeard && now.Sub(h.HeardAt) < alive
+		if h.Domain == c.daemon.settings.FailureDomain && isAlive {
+			ranks = append(ranks, xxhash.Sum64String(string(h.Host)))
 		}
 	}
 	slices.Sort(ranks)
 	return slices.Index(ranks, own) < watchersPerDomain
 }
 
-// presences returns the hosts that are registered, as far as is known.
-func (c *control) presences() []membership.Presence {
-	var found []membership.Presence
-	for _, e := range c.board.Under(c.layout.Presence("")) {
-		p, err := membership.DecodeEntry[membership.Presence](e)
-		if err != nil {
-			c.observer.refused("presence", err)
-			continue
-		}
-		found = append(found, p)
-	}
-	return found
-}
-
 func (c *control) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-c.clock.After(d):
--- a/membership/board.go
+++ b/membership/board.go
@@ -21,28 +21,28 @@
 	Version   Version `json:"version"`
 	Data      []byte  `json:"data,omitempty"`
 	IsDeleted bool    `json:"deleted,omitempty"`
+	// Value encodes the data of an entry that has none: large values are encoded only for those who ask.
+	Value Encoder `json:"-"`
 }
 
+// Encoder is a decoded value that does not change any more.
+type Encoder interface{ Encode() ([]byte, error) }
+
 // Digest sums up the versions of all entries. Daemons with equal digests know the same.
 type Digest uint64
 
 // Versions holds the version of each known entry.
 type Versions map[string]Version
 
-// Board holds the newest known state of each shared value. It is safe for concurrent use.
+// Board holds the newest known state of each value of the store that all daemons share. It is safe for concurrent use.
 type Board struct {
-	isPassing func(key string) bool
-
 	mu      sync.RWMutex
 	entries map[string]Entry
 	digest  Digest
 }
 
-// NewBoard returns an empty board. Passing values are told again and again by their owners, so digests and comparisons
-// leave them out.
-func NewBoard(isPassing func(key string) bool) *Board {
-	return &Board{isPassing: isPassing, entries: map[string]Entry{}}
-}
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{entries: map[string]Entry{}} }
 
 // Offer takes in an entry and tells whether it was newer than the known one.
 func (b *Board) Offer(e Entry) bool {
@@ -52,10 +52,8 @@
 	if e.Version <= known.Version {
 		return false
 	}
-	if !b.isPassing(e.Key) {
-		// The digest is a sum, so that one changed value costs the same whatever the number of values.
-		b.digest += sum(e.Key, e.Version) - sum(e.Key, known.Version)
-	}
+	// The digest is a sum, so that one changed value costs the same whatever the number of values.
+	b.digest += sum(e.Key, e.Version) - sum(e.Key, known.Version)
 	b.entries[e.Key] = e
 	return true
 }
@@ -88,33 +86,46 @@
 	return found
 }
 
-// Digest returns the sum of the versions of all lasting values.
+// Digest returns the sum of the versions of all values.
 func (b *Board) Digest() Digest {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	return b.digest
 }
 
-// Versions returns the version of each lasting value.
+// Versions returns the version of each value.
 func (b *Board) Versions() Versions {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	versions := make(Versions, len(b.entries))
 	for key, e := range b.entries {
-		if !b.isPassing(key) {
-			versions[key] = e.Version
-		}
+		versions[key] = e.Version
 	}
 	return versions
 }
 
-// Newer returns the lasting values that are newer than some versions, in order of their keys.
-func (b *Board) Newer(than Versions) []Entry {
+// Newer returns the values that are newer than some versions, in order of their keys and with their data.
+func (b *Board) Newer(than Versions) ([]Entry, error) {
+	found := b.newer(than)
+	for i, e := range found {
+		if e.Data != nil || e.Value == nil {
+			continue
+		}
+		data, err := e.Value.Encode()
+		if err != nil {
+			return nil, &EntryError{Key: e.Key, Cause: err}
+		}
+		found[i].Data = data
+	}
+	return found, nil
+}
+
+func (b *Board) newer(than Versions) []Entry {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	var found []Entry
 	for _, key := range slices.Sorted(maps.Keys(b.entries)) {
-		if e := b.entries[key]; e.Version > than[key] && !b.isPassing(key) {
+		if e := b.entries[key]; e.Version > than[key] {
 			found = append(found, e)
 		}
 	}
--- a/membership/host.go
+++ b/membership/host.go
@@ -23,7 +23,10 @@
 
 // Announcement is what a daemon tells the others of the backend server beside it. It does not go through the store.
 type Announcement struct {
-	Host     ownership.HostID   `json:"host"`
+	Host ownership.HostID `json:"host"`
+	// Epoch is the host's registration under which Count counts its announcements.
+	Epoch    ownership.Epoch    `json:"epoch"`
+	Count    uint32             `json:"count"`
 	Service  class.Service      `json:"service"`
 	Instance ownership.Instance `json:"instance"`
 	// IsUsable says that it may get new work, and IsReady that it may get keys too.
@@ -38,9 +41,21 @@
 	IsLeaving bool `json:"leaving,omitempty"`
 }
 
-// AnnouncementVersion orders a host's announcements over its registrations.
-func AnnouncementVersion(epoch ownership.Epoch, count uint32) Version {
-	return Version(uint64(epoch)<<32 | uint64(count))
+// isNewer orders a host's announcements over its registrations.
+func (a Announcement) isNewer(than Announcement) bool {
+	if a.Epoch != than.Epoch {
+		return a.Epoch > than.Epoch
+	}
+	return a.Count > than.Count
+}
+
+// isSameForRoutes tells whether two announcements of a host differ only in their load and their number.
+func (a Announcement) isSameForRoutes(other Announcement) bool {
+	a.Epoch, a.Count, a.Load = other.Epoch, other.Count, other.Load
+	// The time left of a slow start runs down by itself.
+	a.WarmupMS = min(a.WarmupMS, other.WarmupMS)
+	other.WarmupMS = a.WarmupMS
+	return a == other
 }
 
 // EntryError reports an entry that cannot be read.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -20,22 +20,28 @@
 
 func TestBoardKeepsTheNewest(t *testing.T) {
 	g := gomega.NewWithT(t)
-	isPassing := func(key string) bool { return key == "load" }
-	a, b := membership.NewBoard(isPassing), membership.NewBoard(isPassing)
+	a, b := membership.NewBoard(), membership.NewBoard()
 	g.Expect(a.Offer(entry("x", 2))).To(gomega.BeTrue())
 	g.Expect(a.Offer(entry("x", 1))).To(gomega.BeFalse())
 	g.Expect(a.Offer(entry("y", 5))).To(gomega.BeTrue())
-	g.Expect(a.Offer(entry("load", 9))).To(gomega.BeTrue())
-	for _, e := range a.Newer(b.Versions()) {
+	g.Expect(a.Offer(membership.Entry{Key: "late", Version: 9, Value: lateValue{}})).To(gomega.BeTrue())
+	newer, err := a.Newer(b.Versions())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, e := range newer {
 		b.Offer(e)
 	}
 	g.Expect(a.Digest()).To(gomega.Equal(b.Digest()))
-	g.Expect(b.Get("load").Version).To(gomega.BeZero(), "passing values are not compared")
+	g.Expect(b.Get("late").Data).To(gomega.Equal([]byte("encoded")), "values are encoded for those who ask")
 	g.Expect(a.Offer(membership.Entry{Key: "x", Version: 7, IsDeleted: true})).To(gomega.BeTrue())
-	g.Expect(a.Under("")).To(gomega.HaveLen(2))
+	g.Expect(a.Under("")).To(gomega.HaveLen(2), "what is gone is left out")
 	g.Expect(a.Digest()).NotTo(gomega.Equal(b.Digest()))
 }
 
+// lateValue is encoded only when it is asked for.
+type lateValue struct{}
+
+func (lateValue) Encode() ([]byte, error) { return []byte("encoded"), nil }
+
 // home is a registrar over a store, driven by hand.
 type home struct {
 	registrar *membership.Registrar
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -137,15 +137,19 @@
 	last := class.Key(0)
 	for span, a := range r.Keys.Runs() {
 		wire.Rows = binary.AppendUvarint(wire.Rows, uint64(span.From-last))
-		wire.Rows = binary.AppendUvarint(wire.Rows, uint64(a.Owner+1))
-		wire.Rows = binary.AppendUvarint(wire.Rows, uint64(r.Generation-a.Fence))
-		wire.Rows = binary.AppendUvarint(wire.Rows, uint64(len(a.Handover)))
-		wire.Rows = append(wire.Rows, a.Handover...)
+		wire.Rows = appendAssignment(wire.Rows, a, r.Generation)
 		last = span.From
 	}
 	return json.Marshal(wire)
 }
 
+func appendAssignment(rows []byte, a Assignment, generation Fence) []byte {
+	rows = binary.AppendUvarint(rows, uint64(a.Owner+1))
+	rows = binary.AppendUvarint(rows, uint64(generation-a.Fence))
+	rows = binary.AppendUvarint(rows, uint64(len(a.Handover)))
+	return append(rows, a.Handover...)
+}
+
 // Decode reads a record.
 func Decode(data []byte) (*Record, error) {
 	var wire wireRecord
@@ -178,23 +182,59 @@
 	members    int
 }
 
+// next reads the row of a record.
 func (r *rowReader) next() (class.Key, Assignment, error) {
-	var fields [4]uint64
+	distance, err := r.number()
+	if err != nil {
+		return 0, Assignment{}, err
+	}
+	r.last += distance
+	a, err := r.assignment()
+	return class.Key(r.last), a, err
+}
+
+// nextSpan reads the row of a delta.
+func (r *rowReader) nextSpan() (keyspace.Span, Assignment, error) {
+	distance, err := r.number()
+	if err != nil {
+		return keyspace.Span{}, Assignment{}, err
+	}
+	more, err := r.number()
+	if err != nil {
+		return keyspace.Span{}, Assignment{}, err
+	}
+	r.last += distance
+	if more >= class.KeyCount || r.last+more >= class.KeyCount {
+		return keyspace.Span{}, Assignment{}, &RecordError{Reason: fmt.Sprintf("the row of key %d is out of range", r.last)}
+	}
+	a, err := r.assignment()
+	return keyspace.Span{From: class.Key(r.last), To: class.Key(r.last + more)}, a, err
+}
+
+func (r *rowReader) number() (uint64, error) {
+	value, n := binary.Uvarint(r.rest)
+	if n <= 0 {
+		return 0, &RecordError{Reason: "a row is cut short"}
+	}
+	r.rest = r.rest[n:]
+	return value, nil
+}
+
+func (r *rowReader) assignment() (Assignment, error) {
+	var fields [3]uint64
 	for i := range fields {
-		value, n := binary.Uvarint(r.rest)
-		if n <= 0 {
-			return 0, Assignment{}, &RecordError{Reason: "a row is cut short"}
+		value, err := r.number()
+		if err != nil {
+			return Assignment{}, err
 		}
 		fields[i] = value
-		r.rest = r.rest[n:]
 	}
-	r.last += fields[0]
-	age, length := Fence(fields[2]), fields[3]
-	isSound := r.last < class.KeyCount && fields[1] <= uint64(r.members) && age <= r.generation && length <= uint64(len(r.rest))
+	age, length := Fence(fields[1]), fields[2]
+	isSound := r.last < class.KeyCount && fields[0] <= uint64(r.members) && age <= r.generation && length <= uint64(len(r.rest))
 	if !isSound {
-		return 0, Assignment{}, &RecordError{Reason: fmt.Sprintf("the row of key %d is out of range", r.last)}
+		return Assignment{}, &RecordError{Reason: fmt.Sprintf("the row of key %d is out of range", r.last)}
 	}
-	a := Assignment{Owner: int(fields[1]) - 1, Fence: r.generation - age, Handover: Handover(r.rest[:length])}
+	a := Assignment{Owner: int(fields[0]) - 1, Fence: r.generation - age, Handover: Handover(r.rest[:length])}
 	r.rest = r.rest[length:]
-	return class.Key(r.last), a, nil
+	return a, nil
 }
--- a/peer/control.go
+++ b/peer/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/membership"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
 )
 
 // Methods between daemons.
@@ -41,10 +42,14 @@
 	Digest membership.Digest `json:"digest"`
 }
 
-// push is some entries that may be new to the receiver.
-type push struct {
-	From    string             `json:"from"`
-	Entries []membership.Entry `json:"entries"`
+// News is what may be new to the receiver.
+type News struct {
+	From string `json:"from"`
+	// Entries are whole values of the store, and Changes what changed in its records.
+	Entries []membership.Entry `json:"entries,omitempty"`
+	Changes []ownership.Delta  `json:"changes,omitempty"`
+	// Announcements are what daemons say of their backend servers.
+	Announcements []membership.Announcement `json:"announcements,omitempty"`
 	// Relay asks the receiver to tell the other daemons of its failure domain.
 	Relay bool `json:"relay,omitempty"`
 }
@@ -81,9 +86,18 @@
 // Wait returns when all senders have ended, after the context has.
 func (p *Pool) Wait() { p.group.Wait() }
 
-// Push sends entries to a peer, which passes them on in its failure domain if it is asked to relay.
-func (p *Pool) Push(to string, entries []membership.Entry, relay bool) {
-	p.notify(to, methodPush, push{From: p.from, Entries: entries, Relay: relay})
+// Push sends news to peers, which pass it on in their failure domain if they are asked to relay.
+func (p *Pool) Push(to []string, news News) error {
+	news.From = p.from
+	// It is encoded once for all.
+	data, err := json.Marshal(news)
+	if err != nil {
+		return &MessageError{Part: methodPush, Cause: err.Error()}
+	}
+	for _, address := range to {
+		p.notify(address, methodPush, json.RawMessage(data))
+	}
+	return nil
 }
 
 // Digest tells a peer the sum of all that is known here.
@@ -231,8 +245,8 @@
 
 // Handler takes the messages of other daemons. Its methods are called from many goroutines.
 type Handler interface {
-	// Push takes in entries that may be new.
-	Push(from string, entries []membership.Entry, relay bool)
+	// Push takes in what may be new.
+	Push(news News)
 	// Digest compares what a peer knows.
 	Digest(d Digest)
 	// Newer returns what is known better here.
@@ -273,8 +287,8 @@
 func (r receiver) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
 	switch request.Method {
 	case methodPush:
-		if p, ok := decode[push](r, request); ok {
-			r.handler.Push(p.From, p.Entries, p.Relay)
+		if news, ok := decode[News](r, request); ok {
+			r.handler.Push(news)
 		}
 	case methodDigest:
 		if d, ok := decode[Digest](r, request); ok {
