--- a/daemon/control.go
+++ b/daemon/control.go
@@ -45,7 +45,7 @@
 	board  *membership.Board
 	roster *membership.Roster
 	// peers holds the control addresses of the other hosts, for any goroutine.
-	peers atomic.Pointer[[]string]
+	peers  atomic.Pointer[[]string]
 	pool   *peer.Pool
 	table  *caller.Table
 	relay  *caller.Relay
