feat: a fault soak over real processes, with faults from outside

Checked meanwhile: owners and fences, runs, refusals, drains, answers, cut calls, configurations in time and never back; at the end, recovery.

Clocks: daemons use the time of day for logs only and the boot clock for authority; it stands still for no process on one machine, so pauses of processes take its place here, and the exploration of ownership plays clocks.

A setting, advertise, lets other daemons reach one through a proxy.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -180,8 +180,8 @@
 		Host:     d.settings.Host,
 		Domain:   d.settings.FailureDomain,
 		Service:  d.settings.Service,
-		Hop:      d.settings.Hop(),
-		Control:  d.settings.Control(),
+		Hop:      d.settings.AdvertisedHop(),
+		Control:  d.settings.AdvertisedControl(),
 		Operator: d.settings.Operator(),
 	}
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,11 +32,14 @@
 fi
 
 echo "== tests under the race detector"
-go test -race -short -timeout 20m -skip "${skip:-^$}" $(go list ./... | grep -v /sessions$)
+go test -race -short -timeout 20m -skip "${skip:-^$}" $(go list ./... | grep -v -e /sessions$ -e /soak$)
 
 # The sessions run real processes: two at a time, and beside nothing else, so that their waits mean the same everywhere.
 echo "== sessions over real processes"
 go test -timeout 20m -parallel 2 -skip "${skip:-^$}" ./sessions
 
+echo "== the fault soak: a few seeds, and each that ever failed"
+go test -timeout 20m -skip "${skip:-^$}" ./soak
+
 echo "== the long explorations and experiments, in full"
 go test -timeout 20m -skip "${skip:-^$}" ./ownership ./experiment
--- a/settings/document.go
+++ b/settings/document.go
@@ -236,8 +236,8 @@
 }
 
 // ip reads an IP number.
-func (d *document) ip(name string) string {
-	value := d.text(name, nil)
+func (d *document) ip(name string, fallback *string) string {
+	value := d.text(name, fallback)
 	if value != "" && net.ParseIP(value) == nil {
 		d.fail(name, "must be an IP number, such as \"10.0.0.7\"")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,8 +15,9 @@
 	Host          ownership.HostID
 	FailureDomain ownership.Domain
 	Service       class.Service
-	// Address is the host's IP number.
-	Address string
+	// Address is the host's IP number, and Advertise the one under which other daemons reach it.
+	Address   string
+	Advertise string
 	// FirstPort and LastPort bound the ports between daemons. The ports are the same on all hosts.
 	FirstPort int
 	LastPort  int
@@ -98,16 +99,22 @@
 )
 
 // Hop is where this daemon takes forwarded calls.
-func (s Settings) Hop() string { return s.port(hopPort) }
+func (s Settings) Hop() string { return s.port(s.Address, hopPort) }
 
 // Control is where this daemon takes control messages.
-func (s Settings) Control() string { return s.port(controlPort) }
+func (s Settings) Control() string { return s.port(s.Address, controlPort) }
 
 // Operator is where this daemon serves operators, metrics among them.
-func (s Settings) Operator() string { return s.port(operatorPort) }
+func (s Settings) Operator() string { return s.port(s.Address, operatorPort) }
+
+// AdvertisedHop is where other daemons reach Hop.
+func (s Settings) AdvertisedHop() string { return s.port(s.Advertise, hopPort) }
+
+// AdvertisedControl is where other daemons reach Control.
+func (s Settings) AdvertisedControl() string { return s.port(s.Advertise, controlPort) }
 
-func (s Settings) port(offset int) string {
-	return net.JoinHostPort(s.Address, strconv.Itoa(s.FirstPort+offset))
+func (s Settings) port(ip string, offset int) string {
+	return net.JoinHostPort(ip, strconv.Itoa(s.FirstPort+offset))
 }
 
 // SeedControls returns the control addresses of the seeds.
@@ -152,7 +159,7 @@
 		Host:          ownership.HostID(d.text("host", nil)),
 		FailureDomain: ownership.Domain(d.text("failure_domain", nil)),
 		Service:       class.Service(d.text("service", nil)),
-		Address:       d.ip("address"),
+		Address:       d.ip("address", nil),
 		FirstPort:     int(d.count("ports.first", nil, 1, 65535)),
 		LastPort:      int(d.count("ports.last", nil, 1, 65535)),
 		Seeds:         d.texts("seeds"),
@@ -183,6 +190,7 @@
 		},
 		Timeline: Timeline{Events: int(d.count("timeline.events", ptr[int64](defaultEvents), 1, 1<<20))},
 	}
+	s.Advertise = d.ip("advertise", &s.Address)
 	s.checkTogether(d)
 	if err := d.finish(); err != nil {
 		return Settings{}, err
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -64,14 +65,36 @@
 
 // Host is one host: a daemon's process and a backend server.
 type Host struct {
-	ID      ownership.HostID
-	Group   Group
-	ip      string
+	ID    ownership.HostID
+	Group Group
+	ip    string
+	links links
+
+	mu      sync.Mutex
 	server  *Server
 	process *exec.Cmd
 	exited  chan struct{}
 }
 
+// daemon returns the host's process and the channel that closes when it has ended.
+func (h *Host) daemon() (*os.Process, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process.Process, h.exited
+}
+
+// PID returns the id of the host's daemon.
+func (h *Host) PID() int {
+	process, _ := h.daemon()
+	return process.Pid
+}
+
+// IP returns the host's IP number.
+func (h *Host) IP() string { return h.ip }
+
+// links are the addresses at which the ends of a host's links find each other.
+type links struct{ store, server, advertise string }
+
 // Caller returns the address for callers.
 func (h *Host) Caller() string { return h.address(callerPort) }
 
@@ -92,14 +115,40 @@
 	memory *store.Memory
 	faults *faultyStore
 	server *http.Server
-	lives  int64
+	lives  atomic.Int64
+	wiring Wiring
 }
 
 // nets counts the deployments of this process, so that each has a loopback network of its own.
 var nets atomic.Int64
 
+// Link is a way between two parts of a deployment.
+type Link int
+
+const (
+	// ToStore leads from a daemon to the store.
+	ToStore Link = iota
+	// ToServer leads from a daemon to its backend server.
+	ToServer
+	// ToHop and ToControl lead from other daemons to a daemon.
+	ToHop
+	// ToControl is for control messages.
+	ToControl
+)
+
+// Wiring returns the address at which one end of a host's link finds the other end, which listens at the given one.
+type Wiring func(h *Host, link Link, address string) (string, error)
+
+// straight is the wiring without anything between.
+func straight(_ *Host, _ Link, address string) (string, error) { return address, nil }
+
 // Start starts a deployment with a daemon's binary, and keeps its files in a directory.
 func Start(plan Plan, binary, dir string) (*Deployment, error) {
+	return StartWired(plan, binary, dir, straight)
+}
+
+// StartWired starts a deployment whose links go where a wiring says.
+func StartWired(plan Plan, binary, dir string, wiring Wiring) (*Deployment, error) {
 	second := 1 + (os.Getpid()*7+int(nets.Add(1))*31)%250
 	d := &Deployment{
 		Ledger: newLedger(),
@@ -108,6 +157,7 @@
 		dir:    dir,
 		prefix: fmt.Sprintf("127.%d", second),
 		memory: store.NewMemory(clockwork.NewRealClock()),
+		wiring: wiring,
 	}
 	d.faults = &faultyStore{Memory: d.memory}
 	if err := d.startStore(); err != nil {
@@ -124,6 +174,9 @@
 				ip:    fmt.Sprintf("%s.%d.%d", d.prefix, g+1, n+1),
 			}
 			d.Hosts = append(d.Hosts, h)
+			if err := d.wire(h); err != nil {
+				return d, &StartError{What: "links of " + string(h.ID), Cause: err}
+			}
 			if err := d.startHost(h); err != nil {
 				return d, err
 			}
@@ -132,8 +185,32 @@
 	return d, nil
 }
 
+// wire asks the wiring for a host's links. Both links from other daemons have to lead to one IP number.
+func (d *Deployment) wire(h *Host) error {
+	var err error
+	if h.links.store, err = d.wiring(h, ToStore, d.storeAddress()); err != nil {
+		return err
+	}
+	if h.links.server, err = d.wiring(h, ToServer, h.address(serverPort)); err != nil {
+		return err
+	}
+	if _, err = d.wiring(h, ToControl, h.address(firstPort+1)); err != nil {
+		return err
+	}
+	hop, err := d.wiring(h, ToHop, h.address(firstPort))
+	if err != nil {
+		return err
+	}
+	h.links.advertise, _, err = net.SplitHostPort(hop)
+	return err
+}
+
+func (d *Deployment) storeAddress() string {
+	return net.JoinHostPort(d.prefix+".0.1", strconv.Itoa(storePort))
+}
+
 func (d *Deployment) startStore() error {
-	listener, err := net.Listen("tcp", net.JoinHostPort(d.prefix+".0.1", strconv.Itoa(storePort)))
+	listener, err := net.Listen("tcp", d.storeAddress())
 	if err != nil {
 		return &StartError{What: "store", Cause: err}
 	}
@@ -161,18 +238,25 @@
 
 // StartServer starts a new life of a host's backend server.
 func (d *Deployment) StartServer(h *Host) error {
-	d.lives++
-	h.server = &Server{
+	life := d.lives.Add(1)
+	server := &Server{
 		Host:     h.ID,
 		service:  h.Group.Service,
 		isKeyed:  d.plan.Config.Services[h.Group.Service].IsKeyed,
 		address:  h.address(serverPort),
+		reached:  h.links.server,
 		control:  h.address(beatPort),
-		instance: ownership.Instance{ID: fmt.Sprintf("i-%s-%d", h.ID, d.lives), Born: time.Now().UnixMilli()},
+		instance: ownership.Instance{ID: fmt.Sprintf("i-%s-%d", h.ID, life), Born: time.Now().UnixMilli()},
 		ledger:   d.Ledger,
 		names:    platform.Headers(),
 	}
-	return h.server.start()
+	if err := server.start(); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.server = server
+	return nil
 }
 
 // StartDaemon starts a host's daemon.
@@ -190,9 +274,10 @@
 	if err := process.Start(); err != nil {
 		return &StartError{What: "daemon", Cause: err}
 	}
-	h.process = process
-	h.exited = make(chan struct{})
-	exited := h.exited
+	exited := make(chan struct{})
+	h.mu.Lock()
+	h.process, h.exited = process, exited
+	h.mu.Unlock()
 	go func() {
 		_ = process.Wait() // how it ended is in its log
 		_ = log.Close()
@@ -206,6 +291,7 @@
 failure_domain = %q
 service = %q
 address = %q
+advertise = %q
 
 [ports]
 first = %d
@@ -224,9 +310,8 @@
 listen = %q
 address = %q
 heartbeat_interval = %q
-`, h.ID, h.Group.Domain, h.Group.Service, h.ip, firstPort, lastPort,
-		net.JoinHostPort(d.prefix+".0.1", strconv.Itoa(storePort)), h.Caller(), h.address(readyPort), h.address(beatPort),
-		h.address(serverPort), beatInterval.String())
+`, h.ID, h.Group.Domain, h.Group.Service, h.ip, h.links.advertise, firstPort, lastPort, h.links.store, h.Caller(),
+		h.address(readyPort), h.address(beatPort), h.links.server, beatInterval.String())
 }
 
 // Find returns a host.
@@ -252,8 +337,9 @@
 
 // IsRunning tells whether the host's daemon runs.
 func (h *Host) IsRunning() bool {
+	_, exited := h.daemon()
 	select {
-	case <-h.exited:
+	case <-exited:
 		return false
 	default:
 		return true
@@ -261,34 +347,58 @@
 }
 
 // Signal sends a signal to a host's daemon.
-func (h *Host) Signal(s syscall.Signal) error { return h.process.Process.Signal(s) }
+func (h *Host) Signal(s syscall.Signal) error {
+	process, _ := h.daemon()
+	return process.Signal(s)
+}
 
 // Kill ends a host's daemon at once.
 func (h *Host) Kill() {
-	_ = h.process.Process.Kill() // it may have ended
-	<-h.exited
+	process, exited := h.daemon()
+	_ = process.Kill() // it may have ended
+	<-exited
 }
 
 // Terminate ends a host's daemon in order and tells whether it ended in time.
 func (h *Host) Terminate() bool {
-	_ = h.process.Process.Signal(syscall.SIGTERM) // it may have ended
+	process, exited := h.daemon()
+	_ = process.Signal(syscall.SIGTERM) // it may have ended
 	select {
-	case <-h.exited:
+	case <-exited:
 		return true
 	case <-time.After(stopTimeout):
-		h.Kill()
+		_ = process.Kill() // it may have ended meanwhile
+		<-exited
 		return false
 	}
 }
 
-// Crash ends a host's backend server.
+// Crash ends a host's backend server, if there is one.
 func (h *Host) Crash() {
-	h.server.end()
+	h.mu.Lock()
+	server := h.server
 	h.server = nil
+	h.mu.Unlock()
+	if server != nil {
+		server.end()
+	}
+}
+
+// HasServer tells whether the host's backend server runs.
+func (h *Host) HasServer() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.server != nil
 }
 
-// Drain makes a host's backend server say that it leaves.
-func (h *Host) Drain() { h.server.Drain() }
+// Drain makes a host's backend server say that it leaves, if there is one.
+func (h *Host) Drain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.server != nil {
+		h.server.Drain()
+	}
+}
 
 // StoreDown makes the store answer nothing but 503 until it is up again. Leases pause or run out meanwhile.
 func (d *Deployment) StoreDown(lapse bool) { d.faults.down(lapse) }
@@ -310,6 +420,12 @@
 	return err == nil && item.Revision != 0
 }
 
+// StoreSlow makes the store wait before each call it answers; zero ends that.
+func (d *Deployment) StoreSlow(wait time.Duration) { d.faults.setSlow(wait) }
+
+// StoreLoses makes the store execute a share of the calls without answering them, some of them late; zero ends that.
+func (d *Deployment) StoreLoses(share float64) { d.faults.setLosing(share) }
+
 // Compact makes the store forget its history.
 func (d *Deployment) Compact() { d.memory.Compact() }
 
@@ -344,13 +460,17 @@
 // Stop ends everything.
 func (d *Deployment) Stop() {
 	for _, h := range d.Hosts {
-		if h.process != nil {
-			_ = h.process.Process.Signal(syscall.SIGCONT) // it may have ended
+		if h.isStarted() {
+			_ = h.Signal(syscall.SIGCONT) // it may have ended
 			h.Kill()
 		}
-		if h.server != nil {
-			h.server.end()
-		}
+		h.Crash()
 	}
 	_ = d.server.Close() // nobody is left
 }
+
+func (h *Host) isStarted() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process != nil
+}
--- a/standin/deployment/faults.go
+++ b/standin/deployment/faults.go
@@ -1,8 +1,13 @@
 package deployment
 
 import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -17,9 +22,14 @@
 	downAt  time.Time
 	lapse   bool
 	refused map[string]bool
+	slow    time.Duration
+	losing  float64
 }
 
-// handler turns calls away while the store is down, or refuses their host.
+// lateWrite is how long a call whose answer is lost may wait before it is executed: longer than daemons wait for it.
+const lateWrite = 1500 * time.Millisecond
+
+// handler turns calls away while the store is down or refuses their host, delays them, and loses answers.
 func (f *faultyStore) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -27,10 +37,42 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		next.ServeHTTP(w, r)
+		slow, losing := f.troubles()
+		time.Sleep(slow)
+		if rand.Float64() >= losing {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return // the caller is gone: nothing was asked
+		}
+		late := r.Clone(context.WithoutCancel(r.Context()))
+		late.Body = io.NopCloser(bytes.NewReader(body))
+		time.Sleep(time.Duration(rand.Int64N(int64(lateWrite))))
+		next.ServeHTTP(httptest.NewRecorder(), late)
+		panic(http.ErrAbortHandler) // closes the connection without an answer
 	})
 }
 
+func (f *faultyStore) troubles() (time.Duration, float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.slow, f.losing
+}
+
+func (f *faultyStore) setSlow(wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow = wait
+}
+
+func (f *faultyStore) setLosing(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.losing = share
+}
+
 func (f *faultyStore) refuses(host string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -46,7 +88,7 @@
 func (f *faultyStore) up() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.lapse {
+	if !f.lapse && !f.downAt.IsZero() {
 		f.Pause(time.Since(f.downAt))
 	}
 	f.downAt = time.Time{}
--- a/standin/deployment/ledger.go
+++ b/standin/deployment/ledger.go
@@ -85,7 +85,8 @@
 	return l.runs[id]
 }
 
-func (l *Ledger) report(format string, values ...any) {
+// Report keeps a broken promise that was seen elsewhere.
+func (l *Ledger) Report(format string, values ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fail(format, values...)
--- a/standin/deployment/load.go
+++ b/standin/deployment/load.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/platform"
 )
 
@@ -41,18 +43,38 @@
 	cancel     context.CancelFunc
 	group      sync.WaitGroup
 
+	interval time.Duration
+
 	mu       sync.Mutex
 	tallies  map[class.Name]*Tally
 	answered map[class.Name]time.Time
+	cuts     []Cut
+}
+
+// Cut is a call that ran and whose caller got no answer, since the daemon that it was sent to broke the connection.
+type Cut struct {
+	Host    ownership.HostID
+	Request string
+	At      time.Time
+	Cause   error
 }
 
 // callInterval is the pause between two calls of one class through one daemon.
 const callInterval = 25 * time.Millisecond
 
 // StartLoad begins to call.
-func (d *Deployment) StartLoad() *Load {
+func (d *Deployment) StartLoad() *Load { return d.StartLoadEvery(callInterval) }
+
+// StartLoadEvery begins to call, with a pause between two calls of one class through one daemon.
+func (d *Deployment) StartLoadEvery(interval time.Duration) *Load {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Load{deployment: d, cancel: cancel, tallies: map[class.Name]*Tally{}, answered: map[class.Name]time.Time{}}
+	l := &Load{
+		deployment: d,
+		cancel:     cancel,
+		interval:   interval,
+		tallies:    map[class.Name]*Tally{},
+		answered:   map[class.Name]time.Time{},
+	}
 	for _, h := range d.Hosts {
 		for i := range d.plan.Config.Classes {
 			c := &d.plan.Config.Classes[i]
@@ -67,7 +89,7 @@
 func (l *Load) loop(ctx context.Context, h *Host, c *class.Class) {
 	client := &http.Client{Timeout: c.Timeout + 2*time.Second}
 	defer client.CloseIdleConnections()
-	ticker := time.NewTicker(callInterval)
+	ticker := time.NewTicker(l.interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -91,7 +113,10 @@
 	t.Sent++
 	runs := ledger.runsOf(id)
 	if !c.Idempotent && runs > 1 {
-		ledger.report("request %s of class %s ran %d times", id, c.Name, runs)
+		ledger.Report("request %s of class %s ran %d times", id, c.Name, runs)
+	}
+	if runs > 0 && isCut(err) {
+		l.cuts = append(l.cuts, Cut{Host: h.ID, Request: id, At: time.Now(), Cause: err})
 	}
 	switch {
 	case err != nil || status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
@@ -99,12 +124,12 @@
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		t.NotRun++
 		if runs > 0 {
-			ledger.report("request %s was said not to have run and ran %d times", id, runs)
+			ledger.Report("request %s was said not to have run and ran %d times", id, runs)
 		}
 	case status == http.StatusOK:
 		var echo Echo
 		if json.Unmarshal(body, &echo) != nil || echo.Request != id {
-			ledger.report("request %s got the answer %q", id, body)
+			ledger.Report("request %s got the answer %q", id, body)
 		}
 		now := time.Now()
 		t.Answered++
@@ -112,10 +137,19 @@
 		t.Gap = max(t.Gap, now.Sub(l.answered[c.Name]))
 		l.answered[c.Name] = now
 	default:
-		ledger.report("request %s got status %d", id, status)
+		ledger.Report("request %s got status %d", id, status)
 	}
 }
 
+// isCut tells whether a connection broke, other than by the caller's own impatience.
+func isCut(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+}
+
+// Cuts returns the calls that were cut, after Stop.
+func (l *Load) Cuts() []Cut { return l.cuts }
+
 // send makes one call through a host's daemon.
 func (d *Deployment) send(client *http.Client, h *Host, c *class.Class, key class.Key, id string) (int, []byte, error) {
 	names := platform.Headers()
--- a/standin/deployment/plans.go
+++ b/standin/deployment/plans.go
@@ -1,9 +1,11 @@
 package deployment
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
 )
 
 // Lorient returns the small deployment of the assay office.
@@ -48,6 +50,23 @@
 	}
 }
 
+// Wide returns a deployment of the assay office with so many hosts, three quarters of which are divided by key, in four
+// failure domains.
+func Wide(hosts int) Plan {
+	plan := Lorient()
+	plan.Name = "wide"
+	plan.Groups = nil
+	const domains = 4
+	for i := range domains {
+		domain := ownership.Domain(fmt.Sprintf("domain-%d", i+1))
+		here := (hosts + i) / domains
+		plan.Groups = append(plan.Groups,
+			Group{Domain: domain, Service: "lot-register", Hosts: here - here/domains},
+			Group{Domain: domain, Service: "fire-assay-bench", Hosts: here / domains})
+	}
+	return plan
+}
+
 func config(keyed, free class.Service, classes []class.Class) *class.Config {
 	return &class.Config{
 		Version: 1,
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -41,10 +41,12 @@
 
 // Server is a backend server that obeys its orders and lets the deployment's ledger check them.
 type Server struct {
-	Host     ownership.HostID
-	service  class.Service
-	isKeyed  bool
-	address  string
+	Host    ownership.HostID
+	service class.Service
+	isKeyed bool
+	address string
+	// reached is where its daemon finds it.
+	reached  string
 	control  string
 	instance ownership.Instance
 	ledger   *Ledger
@@ -57,7 +59,9 @@
 	released []ownership.Release
 	sequence uint64
 	draining bool
-	queued   int
+	// drainHeard is when its daemon acknowledged that it leaves.
+	drainHeard time.Time
+	queued     int
 
 	http *http.Server
 	stop context.CancelFunc
@@ -116,7 +120,9 @@
 // beat sends one heartbeat and tells whether another should follow at once.
 func (s *Server) beat(ctx context.Context, client *http.Client) bool {
 	sent := time.Now()
-	path, body, err := platform.HeartbeatPath(s.account())
+	account := s.account()
+	isLeaving := account.IsDraining
+	path, body, err := platform.HeartbeatPath(account)
 	if err != nil {
 		return false
 	}
@@ -133,6 +139,9 @@
 	if err != nil || response.StatusCode != http.StatusOK {
 		return false
 	}
+	if isLeaving {
+		s.hearDrain()
+	}
 	orders, err := platform.DecodeOrders(data)
 	if err != nil {
 		return false
@@ -140,6 +149,31 @@
 	return s.obey(orders, sent)
 }
 
+func (s *Server) hearDrain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.drainHeard.IsZero() {
+		s.drainHeard = time.Now()
+	}
+}
+
+const (
+	// drainTime is how long after the acknowledgement a leaving server may get work, as the daemons' default settings say;
+	// drainSlack is for what was on its way.
+	drainTime  = 2 * time.Second
+	drainSlack = 300 * time.Millisecond
+)
+
+// checkDrain keeps it as a broken promise when work comes too long after its daemon knew that it leaves.
+func (s *Server) checkDrain(id string) {
+	s.mu.Lock()
+	heard := s.drainHeard
+	s.mu.Unlock()
+	if late := time.Since(heard); !heard.IsZero() && late > drainTime+drainSlack {
+		s.ledger.Report("request %s reached %s %s after its leaving was acknowledged", id, s.instance, late)
+	}
+}
+
 // account is what the server says of itself.
 func (s *Server) account() ownership.Heartbeat {
 	s.mu.Lock()
@@ -147,7 +181,7 @@
 	s.sequence++
 	beat := ownership.Heartbeat{
 		Instance:   s.instance,
-		Address:    s.address,
+		Address:    s.reached,
 		Service:    s.service,
 		Places:     places,
 		Sequence:   s.sequence,
@@ -235,6 +269,7 @@
 		s.refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
+	s.checkDrain(id)
 	s.ledger.ran(id, s.service, r.Header.Get(s.names.Origin))
 	select {
 	case <-time.After(workTime):
