feat: what cannot be served is refused at once, with the time when there is room

Cause: a queue was bounded by 2,000 jobs a class; what missed its target went behind all others and was held until its deadline.

Now: a new job is refused if its class's forecast (its queue at the rate that the class got lately) misses the deadline or, on a server that is asked for more than it can do, a third of the target; Retry-After is the excess. Queues end 25 ms before the deadline, so that the refusal arrives.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -46,6 +46,10 @@
 	nextID  uint64
 }
 
+// answerTime is how long before its deadline a call that has not begun is given up, so that the refusal reaches the daemon
+// that asked before that one has to call the outcome unknown.
+const answerTime = 25 * time.Millisecond
+
 // placed is implemented by policies that depend on the number of places.
 type placed interface{ SetPlaces(places int) }
 
@@ -91,7 +95,7 @@
 		return g.ticket(job, isLetIn)
 	default:
 	}
-	timer := g.clock.NewTimer(deadline.Sub(job.Arrived))
+	timer := g.clock.NewTimer(deadline.Sub(job.Arrived) - answerTime)
 	defer timer.Stop()
 	denial := Expired
 	select {
@@ -111,7 +115,7 @@
 
 func (g *Gate) ticket(job *Job, isLetIn bool) (*Ticket, error) {
 	if !isLetIn {
-		return nil, &DeniedError{Class: job.Class, Denial: Expired}
+		return nil, &DeniedError{Class: job.Class, Denial: Expired, Wait: job.RetryAfter}
 	}
 	return &Ticket{gate: g, job: job, start: g.clock.Now()}, nil
 }
@@ -124,6 +128,9 @@
 	job := &Job{ID: g.nextID, Class: c.Name, Arrived: now, Deadline: deadline, Data: answer}
 	g.policy.Know(now, c)
 	if !g.policy.Offer(now, job) {
+		if job.RetryAfter > 0 {
+			return nil, job.RetryAfter
+		}
 		return nil, g.wait()
 	}
 	g.pump()
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -15,6 +15,8 @@
 	Class    class.Name
 	Arrived  time.Time
 	Deadline time.Time
+	// RetryAfter is set by a policy that refuses or drops the job: when there will be room.
+	RetryAfter time.Duration
 	// Data belongs to whoever offered the job.
 	Data any
 }
--- a/admission/targets.go
+++ b/admission/targets.go
@@ -13,6 +13,8 @@
 	demandWindow = 500 * time.Millisecond
 	// demandWeight is the weight of one window in the learned demand.
 	demandWeight = 0.1
+	// usedWeight is the weight of one window in the places that a class got lately.
+	usedWeight = 0.3
 	// serviceWeight is the weight of one job in the learned service time.
 	serviceWeight = 0.05
 	// headroom is how far above its learned demand a class is protected.
@@ -25,10 +27,12 @@
 	reserve = 0.05
 	// creditTime is how much of its floor a class may save up.
 	creditTime = 500 * time.Millisecond
-	// patience is the part of the latency target that a job of a flooding class may wait.
-	patience = 0.5
+	// patience is the part of the latency target that a job of a flooding class, or of a saturated server, may wait.
+	patience = 0.35
 	// queueBound limits a class's queue, in jobs.
 	queueBound = 2000
+	// leastRate is the part of a place that a forecast allows each class.
+	leastRate = 0.1
 	// outlier bounds what one job may say of the service time, in multiples of what is known.
 	outlier = 4
 	// firstService is the service time assumed before the first job has ended.
@@ -50,6 +54,9 @@
 	floor   float64
 	credit  time.Duration
 	offered int
+	// started is the work begun in this window, and used how many places the class got lately.
+	started time.Duration
+	used    float64
 }
 
 // Targets runs the jobs that keep the classes' targets. Each class is protected up to a floor, worked out from
@@ -63,6 +70,9 @@
 	windowStart time.Time
 	refilledAt  time.Time
 	overloaded  bool
+	// saturated says that more was asked for than the server can do: work that misses its target takes the place of work
+	// that would not.
+	saturated bool
 }
 
 // NewTargets returns the policy for a server with a number of places.
@@ -132,7 +142,7 @@
 		return false
 	}
 	l.offered++
-	if !t.hasRoom(l) {
+	if !t.hasRoom(l) || t.comesTooLate(now, l, job) {
 		return false
 	}
 	l.queue.push(job)
@@ -151,6 +161,62 @@
 	return work <= share*patience*l.class.Latency.Seconds()+l.service.Seconds()
 }
 
+// comesTooLate tells whether a new job would surely miss its deadline behind what waits already or, on a server that is
+// asked for more than it can do, its target. The first job of a class always waits, so that a wrong forecast is corrected.
+func (t *Targets) comesTooLate(now time.Time, l *lane, job *Job) bool {
+	if l.queue.len() == 0 {
+		return false
+	}
+	left := job.Deadline.Sub(now)
+	if t.saturated {
+		// Half of the target is a queue long enough to keep the server busy, and leaves room for a wrong forecast.
+		left = min(left, l.expected()+time.Duration(patience*float64(l.class.Latency)))
+	}
+	excess := t.forecast(l) + l.expected() - left
+	if excess <= 0 {
+		return false
+	}
+	job.RetryAfter = excess + t.turn(l)
+	return true
+}
+
+// turn is how often a place becomes free for a class.
+func (t *Targets) turn(l *lane) time.Duration {
+	return time.Duration(float64(l.service) / max(1, t.places))
+}
+
+// forecast returns how long a new job of a class would wait. On a server that is asked for more than it can do, each class
+// goes on getting the part that it got lately; else the work of more urgent classes goes first, and the floors of waiting
+// classes behind them.
+func (t *Targets) forecast(l *lane) time.Duration {
+	work, rate := t.ahead(l)
+	rate = max(rate, l.floor)
+	if t.saturated {
+		work, rate = float64(l.queue.len())*l.service.Seconds(), l.used
+	}
+	return time.Duration(work / max(rate, leastRate) * float64(time.Second))
+}
+
+// ahead returns the work that goes before a new job of a class, and the rate at which it is done.
+func (t *Targets) ahead(l *lane) (work, rate float64) {
+	rate = t.places
+	isBehind := false
+	for _, other := range t.order {
+		waiting := float64(other.queue.len()) * other.service.Seconds()
+		switch {
+		case other == l:
+			work += waiting
+			isBehind = true
+		case !isBehind:
+			work += waiting
+			rate -= other.demand * other.service.Seconds()
+		case waiting > 0:
+			rate -= other.floor
+		}
+	}
+	return work, rate
+}
+
 // spare returns the places that no floor claims.
 func (t *Targets) spare() float64 {
 	spare := t.places
@@ -174,6 +240,7 @@
 	}
 	l := t.lanes[job.Class]
 	l.credit -= l.service
+	l.started += l.service
 	return append(verdicts, Verdict{Job: job, Run: true})
 }
 
@@ -181,6 +248,9 @@
 func (t *Targets) prune(now time.Time, l *lane) []Verdict {
 	verdicts := l.queue.expire(now, l.expected())
 	verdicts = append(verdicts, l.late.expire(now, l.expected())...)
+	for t.saturated && l.late.peek() != nil {
+		verdicts = append(verdicts, Verdict{Job: l.late.pop()})
+	}
 	isFlooding := t.overloaded && l.isFlooding
 	for {
 		job := l.queue.peek()
@@ -194,7 +264,8 @@
 			break
 		}
 		l.queue.pop()
-		if isFlooding {
+		if isFlooding || t.saturated {
+			job.RetryAfter = t.turn(l)
 			verdicts = append(verdicts, Verdict{Job: job})
 		} else {
 			l.late.push(job)
@@ -289,7 +360,10 @@
 		return
 	}
 	t.windowStart = now
-	t.overloaded = t.isOverloaded(elapsed)
+	work := t.offeredWork(elapsed)
+	t.overloaded = work > busyShare*t.places
+	// Hysteresis keeps chance from letting work in that the next window has no room for.
+	t.saturated = work > t.places || t.saturated && t.overloaded
 	for _, l := range t.order {
 		rate := float64(l.offered) / elapsed.Seconds()
 		// A class whose demand was never learned is taken as it comes: after a restart under full load nothing would be
@@ -299,17 +373,19 @@
 			l.learn(rate)
 		}
 		l.offered = 0
+		l.used += usedWeight * (l.started.Seconds()/elapsed.Seconds() - l.used)
+		l.started = 0
 	}
 	t.setFloors()
 }
 
-// isOverloaded tells whether the window's demand was more than the server takes.
-func (t *Targets) isOverloaded(elapsed time.Duration) bool {
+// offeredWork returns how many places the window's demand would have kept busy.
+func (t *Targets) offeredWork(elapsed time.Duration) float64 {
 	work := 0.0
 	for _, l := range t.order {
 		work += float64(l.offered) / elapsed.Seconds() * l.service.Seconds()
 	}
-	return work > busyShare*t.places
+	return work
 }
 
 // learn moves the demand towards a window's rate.
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -135,7 +135,9 @@
 	}
 	switch refusal.Denial {
 	case admission.Expired:
-		return call.NotRun(call.Late), true
+		answer := call.NotRun(call.Late)
+		answer.RetryAfter = refusal.Wait
+		return answer, true
 	case admission.Withdrawn:
 		if ctx.Err() == nil {
 			return call.Answer{}, false
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -91,3 +91,41 @@
 	// The server can do about nine tenths of what is asked.
 	g.Expect(float64(answered) / float64(len(run.Samples))).To(gomega.BeNumerically(">", 0.8))
 }
+
+// TestRefusalsAreEarly is a server that is asked for more than it can do for as long as the run lasts. Callers of calls that
+// it cannot serve learn it at once and can come back in time; the others are answered inside their target.
+func TestRefusalsAreEarly(t *testing.T) {
+	ms := time.Millisecond
+	for name, excess := range map[string]float64{"just too much": 1.2, "far too much": 2.5} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			run := experiment.Simulate(experiment.Scenario{
+				Name: name,
+				Work: []experiment.Work{
+					{Class: class.Class{Name: "browse", Rank: 1, Latency: 200 * ms, Timeout: 800 * ms, Success: 0.95}, Rate: 50 * excess, Service: 60 * ms},
+					{Class: class.Class{Name: "order", Rank: 2, Latency: 500 * ms, Timeout: time.Second, Success: 0.95}, Rate: 38 * excess, Service: 78 * ms},
+				},
+				Length: 20 * time.Second,
+				Seed:   5,
+			}, admission.NewTargets(6))
+			var inTarget, answered, refused, held float64
+			for _, s := range run.Samples {
+				switch {
+				case s.InTarget:
+					inTarget++
+					answered++
+				case s.Answered:
+					answered++
+				case s.Took > 50*ms:
+					held++
+				default:
+					refused++
+				}
+			}
+			g.Expect(held/(held+refused)).To(gomega.BeNumerically("<", 0.05), "part of the unserved calls that were held")
+			g.Expect(inTarget/answered).To(gomega.BeNumerically(">", 0.9), "part of the answers inside their target")
+			// The server has 6 places: what it can answer of what is asked is 1 in excess, and 5% are left to chance.
+			g.Expect(answered/float64(len(run.Samples))).To(gomega.BeNumerically(">", 0.95/excess), "answered")
+		})
+	}
+}
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -53,6 +53,7 @@
 	Class    class.Name
 	Arrived  time.Duration
 	Answered bool
+	// Took is how long it took, or after which time it was refused.
 	Took     time.Duration
 	InTarget bool
 }
@@ -194,7 +195,11 @@
 }
 
 func (s *simulation) drop(job *admission.Job) {
-	s.run.Samples = append(s.run.Samples, Sample{Class: job.Class, Arrived: job.Arrived.Sub(epoch)})
+	s.run.Samples = append(s.run.Samples, Sample{
+		Class:   job.Class,
+		Arrived: job.Arrived.Sub(epoch),
+		Took:    s.time().Sub(job.Arrived),
+	})
 }
 
 // pump starts jobs while there are free places.
