perf: hosts are connected before calls need them; watches gather changes; the heap grows less

Now: one connection to each new host is made in advance, 40 a second; spare ones are kept for 3 s; a watch that had events pauses 300 ms; the collector runs at 60% growth.

--- a/cmd/run.go
+++ b/cmd/run.go
@@ -17,8 +17,9 @@
 const (
 	// stopSignals is how many signals to stop are told apart: the first is graceful, the second is not.
 	stopSignals = 2
-	// garbagePercent is how much the heap may grow between collections: twice the usual, since it is small.
-	garbagePercent = 200
+	// garbagePercent is how much the heap may grow between collections: less than usual, since memory is dearer on the
+	// hosts than the processor time that collecting a small heap takes.
+	garbagePercent = 60
 	// memoryShare is the part of the process's memory limit from which on garbage is collected harder. The rest is for
 	// what the collector does not see.
 	memoryShare = 0.7
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -117,6 +117,7 @@
 		d.addStore,
 		d.addGossip,
 		d.addHop,
+		d.addWarmer,
 		d.addHeartbeats,
 		d.addReady,
 		d.addOperator,
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -29,8 +29,9 @@
 	// listenRetry and listenTries are for an address that the process before this one still holds.
 	listenRetry = 50 * time.Millisecond
 	listenTries = 40
-	// headerTimeout bounds the reading of headers from processes of the deployment.
-	headerTimeout = 5 * time.Second
+	// headerTimeout bounds the reading of headers from processes of the deployment. Connections that were made in advance
+	// wait as long for their first request, so it is longer than they are kept.
+	headerTimeout = 30 * time.Second
 )
 
 func listen(address string) (net.Listener, error) {
@@ -73,6 +74,12 @@
 	return d.serve(group, "hop", d.settings.Hop(), handler)
 }
 
+// addWarmer makes connections to new hosts before calls need them.
+func (d *Daemon) addWarmer(ctx context.Context, group *run.Group) error {
+	loop(ctx, group, d.hops.Warm)
+	return nil
+}
+
 func (d *Daemon) addHeartbeats(_ context.Context, group *run.Group) error {
 	return d.serve(group, "heartbeats", d.settings.Backend.Listen, platform.HeartbeatHandler(heartbeats{d.control}))
 }
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -16,8 +16,8 @@
 	hops := map[string]bool{}
 	var controls []string
 	for _, h := range c.roster.Hosts() {
-		hops[h.Hop] = true
 		if h.Host != c.self {
+			hops[h.Hop] = true
 			controls = append(controls, h.Control)
 		}
 		a := h.Announcement
@@ -41,7 +41,7 @@
 	c.table.Set(routes)
 	c.relay.Update(routes)
 	c.daemon.hops.Keep(hops)
-	c.budget.SetDaemons(len(hops))
+	c.budget.SetDaemons(1 + len(hops))
 	if c.isKeyed() {
 		c.ownership(now, c.machine.SetServer(now, c.machineState()))
 	}
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -19,6 +19,9 @@
 	watchersPerDomain = 1
 	// deafTime is how long a daemon may hear nothing from others before it watches the store itself.
 	deafTime = 1500 * time.Millisecond
+	// watchPause lets changes gather before the next watch, whose every call has its price. Records and presences come by
+	// gossip sooner; a configuration has 2 s.
+	watchPause = 300 * time.Millisecond
 	// storeRetry and storeRetryMost bound the wait after a failed watch or read.
 	storeRetry     = 150 * time.Millisecond
 	storeRetryMost = time.Second
@@ -117,6 +120,9 @@
 			c.acceptAll(now, changes.Items)
 			c.settle(now)
 		})
+		if len(changes.Items) > 0 {
+			c.sleep(ctx, watchPause)
+		}
 	}
 	return nil
 }
--- a/link/link.go
+++ b/link/link.go
@@ -63,6 +63,8 @@
 	SilenceTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept where the other side says nothing of it.
 	IdleTimeout time.Duration
+	// SpareTimeout is how long unused connections are kept beside the first one; zero means IdleTimeout.
+	SpareTimeout time.Duration
 	// MaxIdle bounds the unused connections.
 	MaxIdle int
 	// MaxBody bounds an answer's body.
@@ -177,15 +179,27 @@
 	if told, ok := keepAlive(r.Header); ok {
 		idle = min(idle, told-idleMargin)
 	}
+	isUsable := !r.isLast && idle > 0 && c.reader.Buffered() == 0
+	if !isUsable {
+		_ = c.Close() // it may be closed already
+		return
+	}
+	p.keep(c, idle)
+}
+
+// keep adds an unused connection, and closes those that are too old.
+func (p *Pool) keep(c *conn, idle time.Duration) {
 	now := p.clock.Now()
-	c.idleUntil = now.Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	isUsable := !r.isLast && idle > 0 && c.reader.Buffered() == 0 && !p.isClosed
-	if !isUsable || len(p.idle) >= p.options.MaxIdle {
+	if p.isClosed || len(p.idle) >= p.options.MaxIdle {
 		_ = c.Close() // it may be closed already
 		return
 	}
+	if len(p.idle) > 0 && p.options.SpareTimeout > 0 {
+		idle = min(idle, p.options.SpareTimeout)
+	}
+	c.idleUntil = now.Add(idle)
 	for len(p.idle) > 0 && !now.Before(p.idle[0].idleUntil) {
 		_ = p.idle[0].Close() // it may be closed already
 		p.idle = p.idle[1:]
@@ -193,6 +207,22 @@
 	p.idle = append(p.idle, c)
 }
 
+// Warm makes a connection for the first request, unless there is one.
+func (p *Pool) Warm(ctx context.Context) error {
+	p.mu.Lock()
+	isWarm := len(p.idle) > 0 || p.isClosed
+	p.mu.Unlock()
+	if isWarm {
+		return nil
+	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.keep(c, p.options.IdleTimeout)
+	return nil
+}
+
 // Close ends the idle connections. Those in use end with their request.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -164,3 +164,43 @@
 	var unsent *link.UnsentError
 	g.Expect(errors.As(err, &unsent)).To(gomega.BeTrue())
 }
+
+func TestAWarmConnectionServesTheFirstRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, accepted := peer(t, ok)
+	p := pool(address)
+	g.Expect(p.Warm(context.Background())).To(gomega.Succeed())
+	g.Expect(p.Warm(context.Background())).To(gomega.Succeed())
+	g.Eventually(accepted).Should(gomega.Equal(1))
+	_, err := get(p, "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(accepted()).To(gomega.Equal(1))
+}
+
+// TestSpareConnectionsAreKeptForAShortTime makes two connections at once and waits until the spare one is too old.
+func TestSpareConnectionsAreKeptForAShortTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, accepted := peer(t, ok, ok, ok, ok, ok, ok)
+	clock := clockwork.NewFakeClock()
+	p := link.NewPool(address, link.Options{
+		DialTimeout: time.Second, SilenceTimeout: time.Second, IdleTimeout: time.Minute, SpareTimeout: time.Second,
+		MaxIdle: 9, MaxBody: 1000,
+	}, clock)
+	both := func() {
+		// The second request begins while the first one is judged, so each has a connection.
+		request, err := http.NewRequest(http.MethodGet, "http://x/", http.NoBody)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = p.Do(context.Background(), request, func(*http.Response) bool {
+			_, err := get(p, "1")
+			return err == nil
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	both()
+	g.Expect(accepted()).To(gomega.Equal(2))
+	both()
+	g.Expect(accepted()).To(gomega.Equal(2), "both are used again")
+	clock.Advance(2 * time.Second)
+	both()
+	g.Expect(accepted()).To(gomega.Equal(3), "the first one is used again, the spare one was too old")
+}
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -45,6 +45,12 @@
 	hopSilence = 500 * time.Millisecond
 	// hopIdle is how long an unused connection between hosts is kept.
 	hopIdle = 20 * time.Second
+	// hopSpare is how long unused connections beside the first one are kept: each costs both hosts some 15 kB.
+	hopSpare = 3 * time.Second
+	// coldLength bounds the hosts that wait for their first connection, and warmInterval is the pause between two: a host
+	// that opens connections to a whole mesh at once has no processor time left for calls.
+	coldLength   = 128
+	warmInterval = 25 * time.Millisecond
 	// hopMaxIdle bounds the unused connections to one host.
 	hopMaxIdle = 16
 	// maxHopBody bounds a body between hosts.
@@ -73,13 +79,16 @@
 	clock  clockwork.Clock
 	onDial func()
 
+	// cold holds the addresses to which no connection was made yet.
+	cold chan string
+
 	mu    sync.Mutex
 	pools map[string]*link.Pool
 }
 
 // NewHopClient returns a client without connections.
 func NewHopClient(onDial func(), clock clockwork.Clock) *HopClient {
-	return &HopClient{clock: clock, onDial: onDial, pools: map[string]*link.Pool{}}
+	return &HopClient{clock: clock, onDial: onDial, cold: make(chan string, coldLength), pools: map[string]*link.Pool{}}
 }
 
 func (h *HopClient) pool(address string) *link.Pool {
@@ -87,20 +96,25 @@
 	defer h.mu.Unlock()
 	p := h.pools[address]
 	if p == nil {
-		p = link.NewPool(address, link.Options{
-			DialTimeout:    hopDialTimeout,
-			SilenceTimeout: hopSilence,
-			IdleTimeout:    hopIdle,
-			MaxIdle:        hopMaxIdle,
-			MaxBody:        maxHopBody,
-			OnDial:         h.onDial,
-		}, h.clock)
+		p = h.newPool(address)
 		h.pools[address] = p
 	}
 	return p
 }
 
-// Keep closes the connections to all but some addresses.
+func (h *HopClient) newPool(address string) *link.Pool {
+	return link.NewPool(address, link.Options{
+		DialTimeout:    hopDialTimeout,
+		SilenceTimeout: hopSilence,
+		IdleTimeout:    hopIdle,
+		SpareTimeout:   hopSpare,
+		MaxIdle:        hopMaxIdle,
+		MaxBody:        maxHopBody,
+		OnDial:         h.onDial,
+	}, h.clock)
+}
+
+// Keep closes the connections to all but some addresses, and has connections made to new ones.
 func (h *HopClient) Keep(addresses map[string]bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -110,6 +124,34 @@
 			delete(h.pools, address)
 		}
 	}
+	for address := range addresses {
+		if h.pools[address] != nil {
+			continue
+		}
+		h.pools[address] = h.newPool(address)
+		select {
+		case h.cold <- address:
+		default: // its first call makes the connection
+		}
+	}
+}
+
+// Warm makes the first connection to each new address, one after the other, until the context ends.
+func (h *HopClient) Warm(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case address := <-h.cold:
+			// A host that is not reached now is tried again by its first call.
+			_ = h.pool(address).Warm(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.clock.After(warmInterval):
+		}
+	}
 }
 
 // Send forwards a call to the daemon of a host, at an address, and returns its answer, or what is known of it.
