--- a/daemon/control.go
+++ b/daemon/control.go
@@ -60,6 +60,8 @@
 	machine   *ownership.Machine
 	epoch     ownership.Epoch
 	server    serverState
+	waiting   waitingBeat
+	promised  map[ownership.HostID]ownership.Instant
 	spread    spreadState
 	records   map[class.Service]*ownership.Record
 	config    *class.Config
@@ -95,8 +97,9 @@
 		registrar: membership.NewRegistrar(d.presence(), layout, membership.DefaultTiming()),
 		machine: ownership.NewMachine(o.Boot.Now(), d.settings.Host, d.settings.Service, layout, d.ownershipTiming(),
 			random),
-		records: map[class.Service]*ownership.Record{},
-		loads:   newLoadMeter(o.Clock.Now()),
+		records:  map[class.Service]*ownership.Record{},
+		promised: map[ownership.HostID]ownership.Instant{},
+		loads:    newLoadMeter(o.Clock.Now()),
 	}
 	c.spread = newSpreadState(o.Boot.Now())
 	c.server = newServerState(d.settings, o.Boot.Now())
@@ -167,6 +170,7 @@
 	} else if now.Sub(c.peersAt) > loadWindow {
 		c.updatePeers(now)
 	}
+	c.answerBeats(now)
 	c.updatePermit(now)
 }
 
@@ -231,6 +235,8 @@
 			c.endLease(effect.Host)
 		case ownership.Adopted:
 			c.adopted(now, effect)
+		case ownership.Promise:
+			c.promise(effect)
 		case ownership.Event:
 			c.observer.ownershipEvent(c.service, effect)
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -193,6 +193,7 @@
 // ownershipTiming fits the protocol's times to the backend server's heartbeats.
 func (d *Daemon) ownershipTiming() ownership.Timing {
 	timing := ownership.DefaultTiming()
+	timing.Beat = d.settings.Backend.HeartbeatInterval
 	timing.Hold = min(heartbeatGrace*d.settings.Backend.HeartbeatInterval, d.settings.Backend.HoldMost, timing.Authority/2)
 	return timing
 }
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -38,6 +38,9 @@
 		c.tellNear(taken)
 	}
 	c.hear(now, news.Announcements, news.Relay)
+	if news.Promise != nil {
+		c.expectKeys(now, *news.Promise)
+	}
 }
 
 // Digest implements peer.Handler.
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -92,18 +92,18 @@
 
 // Heartbeat implements platform.BackendServer.
 func (h heartbeats) Heartbeat(ctx context.Context, beat ownership.Heartbeat) (ownership.Orders, error) {
-	type answer struct {
-		orders ownership.Orders
-		err    error
-	}
 	c := h.control
-	answers := make(chan answer, 1)
+	answers := make(chan beatAnswer, 1)
 	c.post(ctx, func(now ownership.Instant) {
 		if ctx.Err() != nil {
 			return // the server has given this heartbeat up: orders for it would be believed here and not there
 		}
-		orders, err := c.heartbeat(now, beat)
-		answers <- answer{orders: orders, err: err}
+		if err := c.heartbeat(now, beat); err != nil {
+			answers <- beatAnswer{err: err}
+			return
+		}
+		c.queueBeat(now, waitingBeat{ctx: ctx, answers: answers})
+		c.settle(now)
 	})
 	select {
 	case a := <-answers:
@@ -133,13 +133,13 @@
 func (h heartbeats) Unreadable(err error) { h.control.observer.refused("backend server", err) }
 
 // heartbeat takes in what the backend server says of itself.
-func (c *control) heartbeat(now ownership.Instant, beat ownership.Heartbeat) (ownership.Orders, error) {
+func (c *control) heartbeat(now ownership.Instant, beat ownership.Heartbeat) error {
 	s := &c.server
 	if beat.Address != s.address || beat.Service != c.service {
-		return ownership.Orders{}, &foreignError{address: beat.Address, service: string(beat.Service)}
+		return &foreignError{address: beat.Address, service: string(beat.Service)}
 	}
 	if err := s.check(beat); err != nil {
-		return ownership.Orders{}, err
+		return err
 	}
 	isNew := beat.Instance != s.beat.Instance
 	if isNew {
@@ -161,14 +161,10 @@
 		state = ownership.ServerDraining
 	}
 	c.setServer(now, state, "heartbeat")
-	orders := ownership.Orders{}
 	if c.isKeyed() {
-		var effects []ownership.Effect
-		orders, effects = c.machine.Heartbeat(now, beat)
-		c.ownership(now, effects)
+		c.ownership(now, c.machine.Heartbeat(now, beat))
 	}
-	c.settle(now)
-	return orders, nil
+	return nil
 }
 
 // isKeyed tells whether the keys of this host's service are divided over its servers.
--- a/ownership/effect.go
+++ b/ownership/effect.go
@@ -1,6 +1,10 @@
 package ownership
 
-import "github.com/skylarkrelay/skylarkrelay/store"
+import (
+	"time"
+
+	"github.com/skylarkrelay/skylarkrelay/store"
+)
 
 // Effect is something that the machine wants done.
 type Effect interface{ isEffect() }
@@ -27,6 +31,12 @@
 	Revision store.Revision
 }
 
+// Promise says that some hosts shall have keys of this one in about a while.
+type Promise struct {
+	To []HostID
+	In time.Duration
+}
+
 // Event is a decision for the log.
 type Event struct {
 	Kind EventKind
@@ -41,6 +51,7 @@
 func (WriteRecord) isEffect() {}
 func (EndLease) isEffect()    {}
 func (Adopted) isEffect()     {}
+func (Promise) isEffect()     {}
 func (Event) isEffect()       {}
 
 //go:generate go tool stringer -type=EventKind -linecomment
--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -9,14 +9,14 @@
 // leastHold is the shortest hold worth granting: less would run out before the next heartbeat.
 const leastHold = 200 * time.Millisecond
 
-// Heartbeat takes in a heartbeat of the backend server's newest life, and returns what it is to hold.
-func (m *Machine) Heartbeat(now Instant, beat Heartbeat) (Orders, []Effect) {
+// Heartbeat takes in a heartbeat of the backend server's newest life. Orders returns the answer to it.
+func (m *Machine) Heartbeat(now Instant, beat Heartbeat) []Effect {
 	if beat.Instance != m.instance {
 		m.newLife(beat.Instance)
 	}
+	m.beatAt = now
 	m.takeHolds(now, beat)
-	effects := m.step(now)
-	return m.orders(now), effects
+	return m.step(now)
 }
 
 // newLife forgets what an earlier life of the backend server held: that ended with it.
@@ -90,10 +90,11 @@
 	}
 }
 
-// orders returns what the backend server is to hold now.
-func (m *Machine) orders(now Instant) Orders {
+// Orders returns what the backend server is to hold from its last heartbeat on. It may be asked for a while after that
+// heartbeat, when keys are on their way to this host.
+func (m *Machine) Orders(now Instant) Orders {
 	hold := min(m.timing.Hold, time.Duration(float64(m.authority.Sub(now))/clockMargin))
-	if !m.mayAct(now) || m.known == nil || hold < leastHold {
+	if !m.mayAct(now) || m.known == nil || hold-now.Sub(m.beatAt) < leastHold {
 		return Orders{}
 	}
 	self := m.known.Find(m.self)
@@ -111,7 +112,7 @@
 		m.handovers.Set(g.Span, "")
 		m.served.Set(g.Span, true)
 	}
-	m.servedUntil = now.Add(hold)
+	m.servedUntil = m.beatAt.Add(hold) // the server counts from the sending of its heartbeat
 	m.version++
 	return Orders{Hold: hold, Grants: grants}
 }
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -74,6 +74,8 @@
 
 	state    ServerState
 	instance Instance
+	// beatAt is when the last heartbeat came.
+	beatAt Instant
 	// held is what the backend server may hold. Before unknownUntil it may hold more, granted by an earlier daemon.
 	held         keyspace.Map[held]
 	unknownUntil Instant
--- a/ownership/machine_test.go
+++ b/ownership/machine_test.go
@@ -68,7 +68,8 @@
 	g := gomega.NewWithT(t)
 	m, _ := owner(1024)
 	now := ownership.Instant(time.Second)
-	orders, _ := m.Heartbeat(now, beat(1, nil))
+	m.Heartbeat(now, beat(1, nil))
+	orders := m.Orders(now)
 	size := 0
 	for _, grant := range orders.Grants {
 		size += len(fmt.Sprintf(`[%d,%d,%d,%q],`, grant.Span.From, grant.Span.To, grant.Fence, grant.Handover))
@@ -82,9 +83,11 @@
 		all.Keys.Set(span, a)
 	}
 	m.Learn(now, all, 21)
-	merged, _ := m.Heartbeat(now+1, beat(2, orders.Grants))
+	m.Heartbeat(now+1, beat(2, orders.Grants))
+	merged := m.Orders(now + 1)
 	m.Learn(now, striped(64, 7), 22)
-	again, _ := m.Heartbeat(now+2, beat(3, merged.Grants))
+	m.Heartbeat(now+2, beat(3, merged.Grants))
+	again := m.Orders(now + 2)
 	var seen keyspace.Map[ownership.Fence]
 	for _, grants := range [][]ownership.Grant{orders.Grants, merged.Grants, again.Grants} {
 		for _, grant := range grants {
@@ -106,7 +109,7 @@
 	m.Renewed(now, now)
 	var writes []ownership.WriteRecord
 	for sequence := range uint64(4) {
-		_, effects := m.Heartbeat(now+ownership.Instant(sequence), beat(sequence+1, nil))
+		effects := m.Heartbeat(now+ownership.Instant(sequence), beat(sequence+1, nil))
 		for _, e := range effects {
 			if w, ok := e.(ownership.WriteRecord); ok {
 				writes = append(writes, w)
@@ -136,7 +139,8 @@
 	g.Expect(second).NotTo(gomega.BeNil())
 	g.Expect(second.Token).NotTo(gomega.Equal(first.Token))
 	m.WriteDone(now+2, ownership.WriteResult{Token: first.Token, Fate: ownership.WriteConflict})
-	orders, _ := m.Heartbeat(now+3, beat(1, nil))
+	m.Heartbeat(now+3, beat(1, nil))
+	orders := m.Orders(now + 3)
 	g.Expect(orders.Grants).To(gomega.BeEmpty(), "the second write may still give the keys away")
 }
 
@@ -155,7 +159,8 @@
 	timing := ownership.DefaultTiming()
 	end := ownership.Instant(1).Add(timing.Authority)
 	for sequence, left := range []time.Duration{5 * time.Second, time.Second, 300 * time.Millisecond, 100 * time.Millisecond, -1} {
-		orders, _ := m.Heartbeat(end.Add(-left), beat(uint64(sequence)+1, nil))
+		m.Heartbeat(end.Add(-left), beat(uint64(sequence)+1, nil))
+		orders := m.Orders(end.Add(-left))
 		slowest := time.Duration(1.02 * float64(orders.Hold))
 		g.Expect(slowest).To(gomega.BeNumerically("<=", max(0, left)))
 	}
@@ -170,7 +175,7 @@
 	m, record := owner(4)
 	later := beat(1, nil)
 	later.Instance.Born++
-	_, effects := m.Heartbeat(ownership.Instant(20*time.Millisecond), later)
+	effects := m.Heartbeat(ownership.Instant(20*time.Millisecond), later)
 	w := writeOf(effects)
 	g.Expect(w).NotTo(gomega.BeNil())
 	raised, err := ownership.Decode(w.Txn.Puts[0].Value)
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -161,7 +161,37 @@
 		m.freeSince = 0
 	}
 	m.isLeaving = true
-	return []Effect{Event{Kind: EventLeaving, Keys: keys, Detail: reason}}
+	return append([]Effect{Event{Kind: EventLeaving, Keys: keys, Detail: reason}}, m.promise(now, moves)...)
+}
+
+// releaseTime is how long after the heartbeat whose answer leaves keys out they are released and given away: the server
+// says within 100 ms that it has, and the record takes a few calls.
+const releaseTime = 150 * time.Millisecond
+
+// promise tells the hosts that shall have some keys when that will be. It says nothing where the server is silent: its keys
+// are free only when its holds have run out.
+func (m *Machine) promise(now Instant, moves []placement.Move) []Effect {
+	in := releaseTime
+	switch m.state {
+	case ServerEnded:
+	case ServerReady, ServerDraining:
+		in += max(0, m.beatAt.Add(m.timing.Beat).Sub(now))
+	default:
+		return nil
+	}
+	seen := map[HostID]bool{m.self: true}
+	var to []HostID
+	for _, move := range moves {
+		if move.To == placement.Nobody || seen[m.peers[move.To].Host] {
+			continue
+		}
+		seen[m.peers[move.To].Host] = true
+		to = append(to, m.peers[move.To].Host)
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	return []Effect{Promise{To: to, In: in}}
 }
 
 // takeover is this host's effort to take over from a lost one.
--- a/ownership/types.go
+++ b/ownership/types.go
@@ -106,6 +106,8 @@
 	Authority time.Duration
 	// Hold is how long a backend server may hold keys after a heartbeat.
 	Hold time.Duration
+	// Beat is the interval of the backend servers' heartbeats.
+	Beat time.Duration
 	// Settle is how long the membership must have been quiet before a first deal.
 	Settle time.Duration
 	// AbsenceGrace is how long a host may be absent from the store before it is taken over: after an outage hosts need
@@ -127,6 +129,7 @@
 		// A store that is away for 4.5 s is ridden out: one renewal interval before, one heartbeat after.
 		Authority:     8 * time.Second,
 		Hold:          3 * time.Second,
+		Beat:          time.Second,
 		Settle:        700 * time.Millisecond,
 		AbsenceGrace:  2200 * time.Millisecond,
 		Stagger:       600 * time.Millisecond,
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -585,12 +585,24 @@
 		w.onDaemon(h, life, func() {
 			now := w.instant(h)
 			w.effects(h, h.machine.SetServer(now, ownership.ServerReady))
-			orders, effects := h.machine.Heartbeat(now, beat)
-			w.effects(h, effects)
-			if orders.Hold > 0 && w.flaw == holdBeyondAuthority {
-				orders.Hold = worldTiming().Hold
+			w.effects(h, h.machine.Heartbeat(now, beat))
+			answer := func() {
+				orders := h.machine.Orders(w.instant(h))
+				if orders.Hold > 0 && w.flaw == holdBeyondAuthority {
+					orders.Hold = worldTiming().Hold
+				}
+				w.after(w.delay()/4, func() { settle(func() { w.obey(h, orders, sentAt) }) })
 			}
-			w.after(w.delay()/4, func() { settle(func() { w.obey(h, orders, sentAt) }) })
+			if w.random.IntN(4) > 0 {
+				answer()
+				return
+			}
+			// The daemon lets the answer wait for keys that were promised to it.
+			w.after(time.Duration(w.random.Int64N(int64(80*time.Millisecond))), func() {
+				if !settled {
+					w.onDaemon(h, life, answer)
+				}
+			})
 		})
 	})
 }
--- a/peer/control.go
+++ b/peer/control.go
@@ -50,10 +50,18 @@
 	Changes []ownership.Delta  `json:"changes,omitempty"`
 	// Announcements are what daemons say of their backend servers.
 	Announcements []membership.Announcement `json:"announcements,omitempty"`
+	// Promise says that the receiver will be given keys by a host.
+	Promise *Promise `json:"promise,omitempty"`
 	// Relay asks the receiver to tell the other daemons of its failure domain.
 	Relay bool `json:"relay,omitempty"`
 }
 
+// Promise says that a host will give keys away in about a while.
+type Promise struct {
+	Giver ownership.HostID `json:"giver"`
+	InMS  int64            `json:"in_ms"`
+}
+
 // outgoing is one notification on its way.
 type outgoing struct {
 	method string
