--- a/ownership/machine_test.go
+++ b/ownership/machine_test.go
@@ -110,6 +110,7 @@
 	var writes []ownership.WriteRecord
 	for sequence := range uint64(4) {
 		effects := m.Heartbeat(now+ownership.Instant(sequence), beat(sequence+1, nil))
+		m.Orders(now + ownership.Instant(sequence))
 		for _, e := range effects {
 			if w, ok := e.(ownership.WriteRecord); ok {
 				writes = append(writes, w)
--- a/standin/deployment/load.go
+++ b/standin/deployment/load.go
@@ -161,6 +161,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	// A body that cannot be read twice keeps the client from sending a request again on its own, under the same id.
+	request.GetBody = nil
+	request.Body = io.NopCloser(bytes.NewReader(payload))
 	request.Host = c.Host
 	request.Header.Set(names.RequestID, id)
 	request.Header.Set(names.DeadlineMS, strconv.FormatInt(c.Timeout.Milliseconds(), 10))
