--- a/caller/balancer.go
+++ b/caller/balancer.go
@@ -91,7 +91,7 @@
 	var active, usable []*Server
 	for i := range cell.Servers {
 		s := &cell.Servers[i]
-		if !s.IsUsable || tried[s.Host] {
+		if !s.IsUsable || s.IsLeaving || tried[s.Host] {
 			continue
 		}
 		active = append(active, s)
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -224,3 +224,24 @@
 	g.Expect(retries * daemons).To(gomega.BeNumerically("<=", limits.Ratio*float64(calls*daemons)+limits.Slack))
 	g.Expect(retries).To(gomega.BeNumerically(">", calls/10))
 }
+
+// TestStoppingDaemonsServeTheirKeys gives a daemon that stops the calls for the keys that it still has, and no others.
+func TestStoppingDaemonsServeTheirKeys(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewRealClock()
+	servers := []caller.Server{{Host: "a", IsUsable: true, IsLeaving: true, Places: 2}, {Host: "b", IsUsable: true, Places: 2}}
+	table := caller.NewTable()
+	table.Set(caller.Routes{
+		"free":  caller.NewCell(false, servers, nil),
+		"keyed": caller.NewCell(true, servers, routes()["keyed"].Record),
+	})
+	s := &script{}
+	budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
+	relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
+	deadline := clock.Now().Add(time.Second)
+	for range 5 {
+		relay.Do(context.Background(), call.Call{Service: "free", Class: &classes[0], Deadline: deadline})
+	}
+	relay.Do(context.Background(), call.Call{Service: "keyed", Class: &classes[2], Deadline: deadline, Key: 7, HasKey: true})
+	g.Expect(s.asked).To(gomega.Equal([]ownership.HostID{"b", "b", "b", "b", "b", "a"}))
+}
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -17,6 +17,8 @@
 	Hop string
 	// IsUsable says that it may get new work.
 	IsUsable bool
+	// IsLeaving says that its daemon is stopping: it serves the keys that it still has, and nothing else.
+	IsLeaving bool
 	Instance ownership.Instance
 	Places   int
 	// SlowUntil is until when it is slow after its start.
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -66,7 +66,7 @@
 			Host:          string(h.Host),
 			Service:       h.Service,
 			FailureDomain: string(h.Domain),
-			IsUsable:      c.isFresh(h) && h.Announcement.IsUsable,
+			IsUsable:      c.isFresh(h) && h.Announcement.IsUsable && !h.Announcement.IsLeaving,
 			Keys:          held[h.Service][h.Host],
 			Operator:      h.Operator,
 		})
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -27,6 +27,7 @@
 			Domain:    h.Domain,
 			Hop:       h.Hop,
 			IsUsable:  c.isFresh(h) && a.IsUsable,
+			IsLeaving: a.IsLeaving,
 			Instance:  a.Instance,
 			Places:    a.Places,
 			SlowUntil: instantTime(c.clock, now, h.HeardAt.Add(time.Duration(a.WarmupMS)*time.Millisecond)),
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -263,7 +263,6 @@
 	a.Epoch, a.Count = c.epoch, c.spread.count
 	a.Load = c.loads.load
 	a.IsLeaving = c.isLeaving
-	a.IsUsable = a.IsUsable && !c.isLeaving
 	a.IsReady = a.IsReady && !c.isLeaving
 	news := peer.News{Announcements: []membership.Announcement{a}}
 	isChange := c.roster.Hear(now, a) == membership.Changed
--- a/keyspace/keyspace.go
+++ b/keyspace/keyspace.go
@@ -69,6 +69,19 @@
 	m.join(max(0, first-1), first+len(next)+1)
 }
 
+// SetFrom gives a key and all behind it a value. It is the quick way to build a map from its first key to its last.
+func (m *Map[T]) SetFrom(key class.Key, value T) {
+	index, _ := m.find(key)
+	m.runs = m.runs[:index]
+	var before T
+	if index > 0 {
+		before = m.runs[index-1].value
+	}
+	if value != before {
+		m.runs = append(m.runs, run[T]{from: key, value: value})
+	}
+}
+
 // join merges neighbours with equal values among some runs.
 func (m *Map[T]) join(from, to int) {
 	var zero T
--- a/keyspace/keyspace_test.go
+++ b/keyspace/keyspace_test.go
@@ -63,3 +63,23 @@
 		g.Expect(next).To(gomega.Equal(int(within.To) + 1))
 	})
 }
+
+func TestSetFromEqualsSetToTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var one, two keyspace.Map[int]
+		for range rapid.IntRange(0, 20).Draw(t, "steps") {
+			key := class.Key(rapid.IntRange(0, 40).Draw(t, "key"))
+			value := rapid.IntRange(0, 3).Draw(t, "value")
+			one.Set(keyspace.Span{From: key, To: class.KeyCount - 1}, value)
+			two.SetFrom(key, value)
+			for k := range class.Key(45) {
+				if one.At(k) != two.At(k) {
+					t.Fatalf("key %d: %d and %d", k, one.At(k), two.At(k))
+				}
+			}
+			if one.Len() != two.Len() {
+				t.Fatalf("%d and %d runs", one.Len(), two.Len())
+			}
+		}
+	})
+}
--- a/membership/host.go
+++ b/membership/host.go
@@ -37,7 +37,7 @@
 	Load   float64 `json:"load"`
 	// WarmupMS is how much longer it is slow after its start.
 	WarmupMS int64 `json:"warmup_ms,omitempty"`
-	// IsLeaving says that its daemon is stopping.
+	// IsLeaving says that its daemon is stopping. It goes on serving the keys that it still has.
 	IsLeaving bool `json:"leaving,omitempty"`
 }
 
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -1,16 +1,20 @@
 package ownership
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"io"
+	"sync"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 )
 
 // RecordFormat is the version of the record's format. Daemons refuse records of another one.
-const RecordFormat = 2
+const RecordFormat = 3
 
 // Nobody is the index of no member.
 const Nobody = -1
@@ -119,28 +123,63 @@
 
 func (e *RecordError) Error() string { return "ownership record: " + e.Reason }
 
-// wireRecord is the record in the store.
+// wireRecord is the head of a record in the store. Behind it, and compressed with it, come the rows: for each run of keys,
+// unsigned varints: the distance of its first key from the last run's, the owner plus one, the age of the fence in
+// generations, and the length of the handover, which follows.
+//
+// Each change of a row writes the record as a whole, over links of a few Mbit/s and against other writers, so its size
+// decides how many changes a second a service can make.
 type wireRecord struct {
 	Format     int           `json:"format"`
 	Service    class.Service `json:"service"`
 	Generation Fence         `json:"generation"`
 	Members    []Member      `json:"members"`
-	// Rows holds, for each run of keys, unsigned varints: the distance of its first key from the last run's, the owner
-	// plus one, the age of the fence in generations, and the length of the handover, which follows.
-	Rows  []byte `json:"rows"`
-	Nonce string `json:"nonce"`
+	Nonce      string        `json:"nonce"`
 }
 
+// maxRecord bounds a record that is read: each key a row with a handover.
+const maxRecord = 8 << 20
+
+// compressors are kept for later records: each takes some hundred kB.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant that the library knows
+	}
+	return w
+}}
+
 // Encode writes the record.
 func (r *Record) Encode() ([]byte, error) {
-	wire := wireRecord{Format: RecordFormat, Service: r.Service, Generation: r.Generation, Members: r.Members, Nonce: r.Nonce}
+	head, err := json.Marshal(wireRecord{
+		Format:     RecordFormat,
+		Service:    r.Service,
+		Generation: r.Generation,
+		Members:    r.Members,
+		Nonce:      r.Nonce,
+	})
+	if err != nil {
+		return nil, &RecordError{Reason: err.Error()}
+	}
+	rows := binary.AppendUvarint(nil, uint64(len(head)))
+	rows = append(rows, head...)
 	last := class.Key(0)
 	for span, a := range r.Keys.Runs() {
-		wire.Rows = binary.AppendUvarint(wire.Rows, uint64(span.From-last))
-		wire.Rows = appendAssignment(wire.Rows, a, r.Generation)
+		rows = binary.AppendUvarint(rows, uint64(span.From-last))
+		rows = appendAssignment(rows, a, r.Generation)
 		last = span.From
 	}
-	return json.Marshal(wire)
+	var out bytes.Buffer
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&out)
+	if _, err := w.Write(rows); err != nil {
+		return nil, &RecordError{Reason: err.Error()}
+	}
+	if err := w.Close(); err != nil {
+		return nil, &RecordError{Reason: err.Error()}
+	}
+	return out.Bytes(), nil
 }
 
 func appendAssignment(rows []byte, a Assignment, generation Fence) []byte {
@@ -152,24 +191,33 @@
 
 // Decode reads a record.
 func Decode(data []byte) (*Record, error) {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxRecord))
+	if err != nil {
+		return nil, &RecordError{Reason: err.Error()}
+	}
+	length, n := binary.Uvarint(plain)
+	if n <= 0 || length > uint64(len(plain)-n) {
+		return nil, &RecordError{Reason: "its head is cut short"}
+	}
+	head, body := plain[n:n+int(length)], plain[n+int(length):]
 	var wire wireRecord
-	if err := json.Unmarshal(data, &wire); err != nil {
+	if err := json.Unmarshal(head, &wire); err != nil {
 		return nil, &RecordError{Reason: err.Error()}
 	}
 	if wire.Format != RecordFormat {
 		return nil, &RecordError{Reason: fmt.Sprintf("format %d is not %d", wire.Format, RecordFormat)}
 	}
-	if wire.Service == "" || len(wire.Rows) == 0 {
+	if wire.Service == "" || len(body) == 0 {
 		return nil, &RecordError{Reason: "service or rows are missing"}
 	}
 	r := &Record{Service: wire.Service, Generation: wire.Generation, Members: wire.Members, Nonce: wire.Nonce}
-	rows := rowReader{rest: wire.Rows, generation: wire.Generation, members: len(wire.Members)}
+	rows := rowReader{rest: body, generation: wire.Generation, members: len(wire.Members)}
 	for len(rows.rest) > 0 {
 		from, a, err := rows.next()
 		if err != nil {
 			return nil, err
 		}
-		r.Keys.Set(keyspace.Span{From: from, To: class.KeyCount - 1}, a)
+		r.Keys.SetFrom(from, a)
 	}
 	return r, nil
 }
