--- a/caller/routes.go
+++ b/caller/routes.go
@@ -19,8 +19,8 @@
 	IsUsable bool
 	// IsLeaving says that its daemon is stopping: it serves the keys that it still has, and nothing else.
 	IsLeaving bool
-	Instance ownership.Instance
-	Places   int
+	Instance  ownership.Instance
+	Places    int
 	// SlowUntil is until when it is slow after its start.
 	SlowUntil time.Time
 }
