fix: a forwarded call whose caller has left is not begun

Ruled out: the entry (it closed the connection when its caller left) and the queue (it watches the context).

--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -53,7 +53,12 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: d.observer.httpErrors(name)}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          d.observer.httpErrors(name),
+		ConnContext:       peer.WithConn,
+	}
 	group.Add(func() error { return ended(server.Serve(listener)) }, func(error) {
 		_ = server.Close() // what runs ends with the process
 	})
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -204,6 +205,20 @@
 	return a
 }
 
+// connKey finds the connection of a forwarded call.
+type connKey struct{}
+
+// WithConn is the ConnContext of a server of HopHandler: it lets the handler see that the daemon that asked has left.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// hasLeft tells whether the daemon that asked has closed the connection: its caller is gone.
+func hasLeft(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && link.HasEnded(conn)
+}
+
 // HopHandler serves forwarded calls. Broken ones are reported and answered as not run.
 func HopHandler(owner Owner, host ownership.HostID, service class.Service, clock clockwork.Clock, report func(error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -216,6 +231,8 @@
 			answer = call.NotRun(call.BadRequest)
 		case isForeign:
 			answer = call.NotRun(call.NotOwner)
+		case hasLeft(r.Context()):
+			return
 		default:
 			answer = owner.Run(r.Context(), c)
 		}
--- a/peer/hop_test.go
+++ b/peer/hop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -122,3 +124,30 @@
 	a = client.Send(context.Background(), "h", server.Listener.Addr().String(), c)
 	g.Expect(a.Reason).To(gomega.Equal(call.Unreachable))
 }
+
+// TestCallsOfCallersThatLeft is a call that comes late, together with the end of its connection.
+func TestCallsOfCallersThatLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nSkylark-Hop-To: h\r\nSkylark-Hop-Service: s\r\n"+
+		"Skylark-Hop-Left-Us: 900000\r\nSkylark-Hop-Spec: 80000,1,true\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.Close()).To(gomega.Succeed())
+	o := &owner{}
+	served := make(chan struct{})
+	handler := peer.HopHandler(o, "h", "s", clockwork.NewRealClock(), func(err error) { t.Error(err) })
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer close(served)
+			handler.ServeHTTP(w, r)
+		}),
+		ConnContext: peer.WithConn,
+	}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	<-served
+	g.Expect(o.calls).To(gomega.BeEmpty())
+}
