--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -420,6 +420,9 @@
 	return err == nil && item.Revision != 0
 }
 
+// StoreCalls returns how many calls the store has had.
+func (d *Deployment) StoreCalls() int64 { return d.faults.calls.Load() }
+
 // StoreSlow makes the store wait before each call it answers; zero ends that.
 func (d *Deployment) StoreSlow(wait time.Duration) { d.faults.setSlow(wait) }
 
--- a/standin/deployment/faults.go
+++ b/standin/deployment/faults.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/store"
@@ -18,6 +19,9 @@
 type faultyStore struct {
 	*store.Memory
 
+	// calls counts the calls that were not turned away.
+	calls atomic.Int64
+
 	mu      sync.Mutex
 	downAt  time.Time
 	lapse   bool
@@ -37,6 +41,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		f.calls.Add(1)
 		slow, losing := f.troubles()
 		time.Sleep(slow)
 		if rand.Float64() >= losing {
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -35,6 +35,7 @@
 		data        any
 	}{
 		{"demo", "run a deployment on loopback under load, and print what happened", &demoCommand{streams: s}},
+		{"slopes", "measure what daemons use for control, by the size of the mesh", &slopesCommand{streams: s}},
 		{"experiment", "measure the admission policies in virtual time", &experimentCommand{streams: s}},
 	}
 	for _, c := range commands {
