fix: a stopping daemon gives its server no work that it would cut

Ruled out: the entry; the process of the daemon beside the server ended.

Now: from 1.6 s before that end on the backend server gets no more work, and others are told so.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -131,3 +131,15 @@
 	g.Expect(a.Reason).To(gomega.Equal(call.Unreachable))
 	g.Expect(*suspicions).To(gomega.Equal(1))
 }
+
+// TestClosedRunnerBeginsNothing is the runner of a daemon that is about to end.
+func TestClosedRunnerBeginsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	asked := 0
+	r, _ := runner(server(t, func(http.ResponseWriter, *http.Request) { asked++ }), same)
+	r.Close()
+	answer := r.Run(context.Background(), work(time.Second))
+	g.Expect(answer.Outcome).To(gomega.Equal(class.NotRun))
+	g.Expect(answer.Reason).To(gomega.Equal(call.NotOwner), "another owner may turn up")
+	g.Expect(asked).To(gomega.BeZero())
+}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -54,6 +54,7 @@
 	gate    *admission.Gate
 	current atomic.Pointer[state]
 	running atomic.Int64
+	closed  atomic.Bool
 	// suspect is told of calls that found nobody at the server's address. It must not block.
 	suspect func()
 
@@ -80,6 +81,12 @@
 	close(old.replaced)
 }
 
+// Close refuses all further calls: this daemon would end before their answers come.
+func (r *Runner) Close() { r.closed.Store(true) }
+
+// IsClosed tells whether further calls are refused.
+func (r *Runner) IsClosed() bool { return r.closed.Load() }
+
 // Running returns how many calls the server has.
 func (r *Runner) Running() int { return int(r.running.Load()) }
 
@@ -113,7 +120,7 @@
 func (r *Runner) admit(ctx context.Context, c call.Call) call.Answer {
 	for {
 		s := r.current.Load()
-		if !s.allows(r.clock.Now(), c) || s.client == nil {
+		if r.IsClosed() || !s.allows(r.clock.Now(), c) || s.client == nil {
 			return call.NotRun(call.NotOwner)
 		}
 		ticket, err := r.gate.Acquire(ctx, c.Class, c.Deadline, s.replaced)
@@ -154,7 +161,7 @@
 func (r *Runner) order(ctx context.Context, c call.Call, ticket *admission.Ticket) call.Answer {
 	start := r.clock.Now()
 	s := r.current.Load()
-	if !s.allows(start, c) || s.client == nil {
+	if r.IsClosed() || !s.allows(start, c) || s.client == nil {
 		ticket.Cancel()
 		return call.NotRun(call.NotOwner)
 	}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/platform"
 	"github.com/skylarkrelay/skylarkrelay/settings"
@@ -202,3 +203,39 @@
 	}
 	return b
 }
+
+// TestStoppingDaemonGivesNoWorkThatItWouldCut is a daemon that cannot give its keys away before its grace time ends. Calls for
+// them are served, but none is begun that would still run when the process ends.
+func TestStoppingDaemonGivesNoWorkThatItWouldCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	s := testSettings()
+	s.Stop.GraceTime = 6 * time.Second
+	d := New(s, Options{Log: hclog.NewNullLogger(), Clock: clock})
+	d.control.store = store.NewMemory(clock)
+	record := &ownership.Record{Service: "s", Generation: 1, Members: []ownership.Member{{Host: "h"}}}
+	record.Keys.Set(keyspace.All(), ownership.Assignment{Owner: 0, Fence: 1})
+	d.control.config = &class.Config{Version: 1, Services: map[class.Service]class.ServiceSettings{"s": {IsKeyed: true}}}
+	d.control.machine.Learn(0, record, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	controlEnded, stopEnded := make(chan error, 1), make(chan error, 1)
+	go func() { controlEnded <- d.control.run(ctx) }()
+	go func() { stopEnded <- d.drain(ctx, nil) }()
+	defer func() {
+		cancel()
+		<-controlEnded
+		d.control.wait()
+	}()
+	const waiters = 2 // the tickers of control and of the stop
+	g.Expect(clock.BlockUntilContext(ctx, waiters)).To(gomega.Succeed())
+	schedule := newStopSchedule(s.Stop.GraceTime)
+	g.Expect(schedule.work + lastWork).To(gomega.BeNumerically("<=", schedule.end))
+	g.Expect(schedule.end).To(gomega.BeNumerically("<", s.Stop.GraceTime))
+	clock.Advance(schedule.work - stopPoll)
+	g.Expect(d.runner.IsClosed()).To(gomega.BeFalse(), "keys are served as long as can be")
+	clock.Advance(2 * stopPoll)
+	g.Eventually(d.runner.IsClosed).Should(gomega.BeTrue())
+	g.Expect(stopEnded).NotTo(gomega.Receive(), "running calls end first")
+	clock.Advance(lastWork)
+	g.Eventually(stopEnded, 5*time.Second).Should(gomega.Receive())
+}
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -263,6 +263,7 @@
 	a.Epoch, a.Count = c.epoch, c.spread.count
 	a.Load = c.loads.load
 	a.IsLeaving = c.isLeaving
+	a.IsUsable = a.IsUsable && !c.runner.IsClosed()
 	a.IsReady = a.IsReady && !c.isLeaving
 	news := peer.News{Announcements: []membership.Announcement{a}}
 	isChange := c.roster.Hear(now, a) == membership.Changed
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -21,6 +21,9 @@
 	callersLeave = 2600 * time.Millisecond
 	// stopMargin is how long before the end of the grace time the process ends by itself.
 	stopMargin = 700 * time.Millisecond
+	// lastWork is how long before that end the backend server gets its last work from this daemon, also for keys that could
+	// not be given away: as long as the slowest classes of the deployments may take.
+	lastWork = 1600 * time.Millisecond
 	// stopPoll is how often a stopping daemon looks whether it may end.
 	stopPoll = 50 * time.Millisecond
 	// quietTime is how long no call must have run before a stopping daemon ends.
@@ -43,11 +46,21 @@
 	}
 }
 
+// stopSchedule says when, after the signal to stop, a daemon turns callers away, gives its backend server no more work, and
+// ends whatever still runs.
+type stopSchedule struct{ callers, work, end time.Duration }
+
+func newStopSchedule(grace time.Duration) stopSchedule {
+	end := grace - stopMargin
+	return stopSchedule{callers: callersLeave, work: end - lastWork, end: end}
+}
+
 func (d *Daemon) drain(ctx context.Context, again <-chan struct{}) error {
 	d.stopping.Store(true)
 	d.entry.Close()
 	d.log.Info("stop begun", "grace_ms", d.settings.Stop.GraceTime.Milliseconds())
 	d.control.post(ctx, d.control.leave)
+	schedule := newStopSchedule(d.settings.Stop.GraceTime)
 	start := d.clock.Now()
 	quietSince := start
 	ticker := d.clock.NewTicker(stopPoll)
@@ -64,11 +77,16 @@
 		if d.entry.Active() > 0 || d.runner.Running() > 0 {
 			quietSince = now
 		}
-		if now.Sub(start) >= callersLeave {
+		elapsed := now.Sub(start)
+		if elapsed >= schedule.callers {
 			d.entry.Refuse()
 		}
-		isQuiet := now.Sub(quietSince) >= quietTime && now.Sub(start) >= callersLeave+quietTime
-		if isQuiet && d.control.hasGivenAway(ctx) || now.Sub(start) >= d.settings.Stop.GraceTime-stopMargin {
+		if elapsed >= schedule.work && !d.runner.IsClosed() {
+			d.runner.Close()
+			d.control.post(ctx, d.control.stopServing)
+		}
+		isQuiet := now.Sub(quietSince) >= quietTime && elapsed >= schedule.callers+quietTime
+		if isQuiet && d.control.hasGivenAway(ctx) || elapsed >= schedule.end {
 			d.control.signOff()
 			return &stoppedError{reason: "drained"}
 		}
@@ -83,6 +101,13 @@
 	c.settle(now)
 }
 
+// stopServing tells others that this daemon's backend server gets no more work, also for its keys.
+func (c *control) stopServing(now ownership.Instant) {
+	c.log.Info("last work given", "owns_keys", c.ownsKeys())
+	c.announce(now)
+	c.settle(now)
+}
+
 // hasGivenAway tells whether no key depends on this daemon any more, or none ever can be given away.
 func (c *control) hasGivenAway(ctx context.Context) bool {
 	answer := make(chan bool, 1)
