--- a/placement/placement.go
+++ b/placement/placement.go
@@ -237,10 +237,12 @@
 		if excess < leastRelief || run.Load < leastRelief || len(moves) >= MaxRows {
 			break
 		}
-		to := lightest(places, loads, self)
+		to := lightest(places, loads, self, len(moves))
+		if to == Nobody || places[to].Rows >= MaxRows {
+			continue
+		}
 		gap := loads[self] - loads[to]
-		isUseful := run.Load <= 2*reliefShare*gap*0.75 && run.Load <= excess+leastRelief
-		if to == Nobody || !isUseful || places[to].Rows >= MaxRows {
+		if run.Load > 2*reliefShare*gap*0.75 || run.Load > excess+leastRelief {
 			continue
 		}
 		moves = append(moves, Move{Span: run.Span, To: to})
@@ -251,11 +253,22 @@
 	return moves
 }
 
-// lightest returns the place with the least load besides one.
-func lightest(places []Place, loads []float64, besides int) int {
+const (
+	// smallService is up to how many places all are compared; among more, a share of them that differs by giver and turn.
+	smallService = 12
+	sampleShare  = 3
+	// sampleStep and sampleShift mix giver and turn into the choice of the sample; they share no factor with sampleShare.
+	sampleStep  = 7
+	sampleShift = 5
+)
+
+// lightest returns the place with the least load besides one, or Nobody. Givers that look at the same time would all choose
+// the same place, so in a large service each looks at another sample.
+func lightest(places []Place, loads []float64, besides, turn int) int {
 	best := Nobody
 	for i, p := range places {
-		if i == besides || p.Capacity == 0 {
+		isSampled := len(places) <= smallService || (i*sampleStep+besides*sampleShift+turn)%sampleShare == 0
+		if i == besides || p.Capacity == 0 || !isSampled {
 			continue
 		}
 		if best == Nobody || loads[i] < loads[best] {
