--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -111,6 +111,7 @@
 			all[i].Load = 3 * capacity
 		}
 	}
+	all[servers-1].Load = 1.5 // the first choice of all
 	after := make([]float64, servers)
 	for i := range all {
 		after[i] = all[i].Load
