--- a/placement/placement.go
+++ b/placement/placement.go
@@ -237,7 +237,7 @@
 		if excess < leastRelief || run.Load < leastRelief || len(moves) >= MaxRows {
 			break
 		}
-		to := lightest(places, loads, self)
+		to := lightest(places, loads, self, len(moves))
 		if to == Nobody || places[to].Rows >= MaxRows {
 			continue
 		}
@@ -254,17 +254,20 @@
 }
 
 const (
-	// smallService is up to how many places all are compared; among more, one of sampleShare, by giver.
+	// smallService is up to how many places all are compared; among more, a share of them that differs by giver and turn.
 	smallService = 12
 	sampleShare  = 3
+	// sampleStep and sampleShift mix giver and turn into the choice of the sample; they share no factor with sampleShare.
+	sampleStep  = 7
+	sampleShift = 5
 )
 
 // lightest returns the place with the least load besides one, or Nobody. Givers that look at the same time would all choose
 // the same place, so in a large service each looks at another sample.
-func lightest(places []Place, loads []float64, besides int) int {
+func lightest(places []Place, loads []float64, besides, turn int) int {
 	best := Nobody
 	for i, p := range places {
-		isSampled := len(places) <= smallService || (i+besides)%sampleShare == 0
+		isSampled := len(places) <= smallService || (i*sampleStep+besides*sampleShift+turn)%sampleShare == 0
 		if i == besides || p.Capacity == 0 || !isSampled {
 			continue
 		}
