revert: refused work as load, shorter stripes, samples of receivers

More keys moved at once than heartbeats of 1.5 s carry; each is without a server meanwhile, and records grew.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -53,11 +53,6 @@
 // placed is implemented by policies that depend on the number of places.
 type placed interface{ SetPlaces(places int) }
 
-// estimator is implemented by policies that learn how long jobs run.
-type estimator interface {
-	Expected(name class.Name) time.Duration
-}
-
 // NewGate returns a gate to a server that announced a number of places.
 func NewGate(policy Policy, places int, clock clockwork.Clock) *Gate {
 	return &Gate{clock: clock, policy: policy, limit: NewLimit(places)}
@@ -147,16 +142,6 @@
 	return g.policy.Backlog() / time.Duration(g.limit.Current())
 }
 
-// Expected returns how long a call of a class is expected to run, or zero if nothing is known of it.
-func (g *Gate) Expected(name class.Name) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e, ok := g.policy.(estimator); ok {
-		return e.Expected(name)
-	}
-	return 0
-}
-
 func (g *Gate) remove(job *Job) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/admission/targets.go
+++ b/admission/targets.go
@@ -315,14 +315,6 @@
 	l.service += time.Duration(serviceWeight * float64(took-l.service))
 }
 
-// Expected returns how long a job of a class is expected to run.
-func (t *Targets) Expected(name class.Name) time.Duration {
-	if l := t.lanes[name]; l != nil {
-		return l.service
-	}
-	return 0
-}
-
 // Remove implements Policy.
 func (t *Targets) Remove(job *Job) bool {
 	l := t.lanes[job.Class]
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -59,7 +59,7 @@
 	suspect func()
 
 	mu sync.Mutex
-	// worked holds how long calls of each key have run since it was last asked for, or would have run had there been room.
+	// worked holds how long calls of each key have run since it was last asked for.
 	worked map[class.Key]time.Duration
 	busy   time.Duration
 }
@@ -90,7 +90,7 @@
 // Running returns how many calls the server has.
 func (r *Runner) Running() int { return int(r.running.Load()) }
 
-// TakeWorked returns how much work was asked for since the last time, by key and in all.
+// TakeWorked returns how long calls have run since the last time, by key and in all.
 func (r *Runner) TakeWorked() (map[class.Key]time.Duration, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -108,10 +108,6 @@
 // Run runs a call, or tells why it did not.
 func (r *Runner) Run(ctx context.Context, c call.Call) call.Answer {
 	answer := r.admit(ctx, c)
-	if answer.Reason == call.Overload || answer.Reason == call.Late {
-		// What was asked for counts, not what was done: a server that refuses much would look no busier than a full one.
-		r.count(c, r.gate.Expected(c.Class.Name))
-	}
 	load := r.Load()
 	answer.Load = &load
 	if answer.Outcome == class.NotRun && answer.RetryAfter == 0 {
@@ -177,7 +173,13 @@
 	if answer.Reason == call.Unreachable {
 		r.suspect()
 	}
-	r.count(c, r.clock.Since(start))
+	took := r.clock.Since(start)
+	r.mu.Lock()
+	r.busy += took
+	if c.HasKey {
+		r.worked[c.Key] += took
+	}
+	r.mu.Unlock()
 	switch {
 	case answer.Reason == call.Shed:
 		ticket.Shed()
@@ -189,15 +191,5 @@
 	return answer
 }
 
-// count adds to the work that was asked for.
-func (r *Runner) count(c call.Call, took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.busy += took
-	if c.HasKey {
-		r.worked[c.Key] += took
-	}
-}
-
 // State returns the state of the gate, for operators.
 func (r *Runner) State() admission.State { return r.gate.State() }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
@@ -45,12 +46,13 @@
 		owners.Set(keyspace.All(), Nobody)
 		return owners
 	}
-	// As short as the rows allow: busy keys lie side by side, and each stripe puts some on another server.
-	stripes := stripesPerPlace * len(places)
-	size := (class.KeyCount + stripes - 1) / stripes
+	stripes := 1 << int(math.Log2(float64(stripesPerPlace*len(places))))
+	stripes = min(stripes, class.KeyCount)
+	size := class.KeyCount / stripes
 	turns := newTurns(places)
-	for from := 0; from < class.KeyCount; from += size {
-		owners.SetFrom(class.Key(from), turns.next())
+	for stripe := range stripes {
+		from := class.Key(stripe * size)
+		owners.Set(keyspace.Span{From: from, To: from + class.Key(size-1)}, turns.next())
 	}
 	return owners
 }
@@ -237,12 +239,10 @@
 		if excess < leastRelief || run.Load < leastRelief || len(moves) >= MaxRows {
 			break
 		}
-		to := lightest(places, loads, self, len(moves))
-		if to == Nobody || places[to].Rows >= MaxRows {
-			continue
-		}
+		to := lightest(places, loads, self)
 		gap := loads[self] - loads[to]
-		if run.Load > 2*reliefShare*gap*0.75 || run.Load > excess+leastRelief {
+		isUseful := run.Load <= 2*reliefShare*gap*0.75 && run.Load <= excess+leastRelief
+		if to == Nobody || !isUseful || places[to].Rows >= MaxRows {
 			continue
 		}
 		moves = append(moves, Move{Span: run.Span, To: to})
@@ -253,22 +253,11 @@
 	return moves
 }
 
-const (
-	// smallService is up to how many places all are compared; among more, a share of them that differs by giver and turn.
-	smallService = 12
-	sampleShare  = 3
-	// sampleStep and sampleShift mix giver and turn into the choice of the sample; they share no factor with sampleShare.
-	sampleStep  = 7
-	sampleShift = 5
-)
-
-// lightest returns the place with the least load besides one, or Nobody. Givers that look at the same time would all choose
-// the same place, so in a large service each looks at another sample.
-func lightest(places []Place, loads []float64, besides, turn int) int {
+// lightest returns the place with the least load besides one.
+func lightest(places []Place, loads []float64, besides int) int {
 	best := Nobody
 	for i, p := range places {
-		isSampled := len(places) <= smallService || (i*sampleStep+besides*sampleShift+turn)%sampleShare == 0
-		if i == besides || p.Capacity == 0 || !isSampled {
+		if i == besides || p.Capacity == 0 {
 			continue
 		}
 		if best == Nobody || loads[i] < loads[best] {
