fix: configurations do not wait behind records, and hosts that the store turns away do not watch for others

The store turned a third of the hosts away; a watcher among them stayed its domain's only one, and differing digests were held to be news on its way for as long as records changed.

Ruled out: decoding (other hosts had it), the watch's pause (0.3 s).

Now: announcements tell that a host is cut off from the store; digests carry the configuration's version, and an older one is repaired at once.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -40,10 +40,11 @@
 	service  class.Service
 
 	store store.Store
-	// direct is the store without the way through other daemons.
-	direct store.Store
-	board  *membership.Board
-	roster *membership.Roster
+	// direct is the store without the way through other daemons, and isCutOff tells whether it is lost.
+	direct   store.Store
+	isCutOff func() bool
+	board    *membership.Board
+	roster   *membership.Roster
 	// peers holds the control addresses of the other hosts, for any goroutine.
 	peers  atomic.Pointer[[]string]
 	pool   *peer.Pool
@@ -104,7 +105,7 @@
 	c.spread = newSpreadState(o.Boot.Now())
 	c.server = newServerState(d.settings, o.Boot.Now())
 	reached := d.newStore(c.peerControls)
-	c.store, c.direct = reached, reached.direct
+	c.store, c.direct, c.isCutOff = reached, reached.direct, reached.isCutOff
 	return c
 }
 
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,7 +15,9 @@
 
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/peer"
 	"github.com/skylarkrelay/skylarkrelay/platform"
 	"github.com/skylarkrelay/skylarkrelay/settings"
 	"github.com/skylarkrelay/skylarkrelay/store"
@@ -239,3 +242,37 @@
 	clock.Advance(lastWork)
 	g.Eventually(stopEnded, 5*time.Second).Should(gomega.Receive())
 }
+
+// TestConfigurationsDoNotWaitForOtherNews is a daemon that missed a configuration while records change all the time.
+func TestConfigurationsDoNotWaitForOtherNews(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewFakeClock()})
+	c, now := d.control, ownership.Instant(time.Minute)
+	c.board.Offer(membership.Entry{Key: platform.ConfigKey, Version: 5, Data: []byte("{}")})
+	c.spread.changedAt = now
+	g.Expect(c.lacks(now, peer.Digest{Digest: c.board.Digest(), Config: 5})).To(gomega.BeFalse())
+	g.Expect(c.lacks(now, peer.Digest{Digest: 1, Config: 5})).To(gomega.BeFalse(), "news is on its way")
+	g.Expect(c.lacks(now, peer.Digest{Digest: 1, Config: 6})).To(gomega.BeTrue())
+	g.Expect(c.lacks(now.Add(settleTime+1), peer.Digest{Digest: 1, Config: 5})).To(gomega.BeTrue(), "nothing is on its way")
+}
+
+// TestHostsThatTheStoreTurnsAwayDoNotWatchForOthers is a failure domain whose first watcher cannot reach the store.
+func TestHostsThatTheStoreTurnsAwayDoNotWatchForOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewFakeClock()})
+	c, now := d.control, ownership.Instant(time.Minute)
+	c.config = &class.Config{}
+	c.spread.heardAt = now
+	hear := func(count uint32, isCutOff bool) {
+		for i := range 9 {
+			host := ownership.HostID(fmt.Sprint("near-", i))
+			c.roster.Register(membership.Presence{Host: host, Domain: "d", Hop: string(host)}, membership.Version(i+1))
+			c.roster.Hear(now, membership.Announcement{Host: host, Epoch: 1, Count: count, IsCutOff: isCutOff})
+		}
+	}
+	c.roster.Register(membership.Presence{Host: "h", Domain: "d", Hop: "h"}, 9)
+	hear(1, false)
+	g.Expect(c.isWatcher(now)).To(gomega.BeFalse())
+	hear(2, true)
+	g.Expect(c.isWatcher(now)).To(gomega.BeTrue())
+}
--- a/daemon/fallback.go
+++ b/daemon/fallback.go
@@ -42,14 +42,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	isFailing := !f.failingSince.IsZero() && now.Sub(f.failingSince) > peerAfter
-	if !isFailing || len(peers) == 0 || now.Sub(f.probedAt) > directProbe {
+	if !f.isFailing(now) || len(peers) == 0 || now.Sub(f.probedAt) > directProbe {
 		f.probedAt = now
 		return f.direct, true
 	}
 	return f.through(peers[rand.IntN(len(peers))]), false
 }
 
+// isFailing tells whether direct calls have failed for a while. The lock is held by the caller.
+func (f *fallbackStore) isFailing(now time.Time) bool {
+	return !f.failingSince.IsZero() && now.Sub(f.failingSince) > peerAfter
+}
+
+// isCutOff tells whether the store cannot be reached directly.
+func (f *fallbackStore) isCutOff() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isFailing(f.clock.Now())
+}
+
 // did takes note of how a direct call went.
 func (f *fallbackStore) did(isDirect bool, err error) {
 	if !isDirect {
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -264,6 +264,7 @@
 	a.Load = c.loads.load
 	a.IsLeaving = c.isLeaving
 	a.IsUsable = a.IsUsable && !c.runner.IsClosed()
+	a.IsCutOff = c.isCutOff()
 	a.IsReady = a.IsReady && !c.isLeaving
 	news := peer.News{Announcements: []membership.Announcement{a}}
 	isChange := c.roster.Hear(now, a) == membership.Changed
@@ -290,7 +291,7 @@
 	if now >= c.spread.repairAt {
 		c.spread.repairAt = now.Add(repairInterval)
 		if partner := c.partner(); partner != "" {
-			c.pool.Digest(partner, c.board.Digest())
+			c.pool.Digest(partner, c.board.Digest(), c.board.Get(platform.ConfigKey).Version)
 		}
 	}
 	for _, h := range c.roster.Expire(now) {
@@ -330,18 +331,25 @@
 	return addresses[c.random.IntN(len(addresses))]
 }
 
-// compare takes in what a peer's knowledge sums up to. News that is still on its way is no reason to ask for it.
+// compare takes in what a peer's knowledge sums up to.
 func (c *control) compare(now ownership.Instant, d peer.Digest) {
+	if c.lacks(now, d) {
+		c.spread.mismatches = 0
+		c.repair(d.From)
+	}
+}
+
+// lacks tells whether a peer should be asked for what it knows better. News that is still on its way is no reason, but for a
+// configuration, which must not wait behind records that change all the time.
+func (c *control) lacks(now ownership.Instant, d peer.Digest) bool {
 	if d.Digest == c.board.Digest() {
 		c.spread.mismatches = 0
-		return
+		return false
 	}
 	c.spread.mismatches++
 	isSettled := now.Sub(c.spread.changedAt) > settleTime
-	if c.config == nil || isSettled || c.spread.mismatches >= patientDigests {
-		c.spread.mismatches = 0
-		c.repair(d.From)
-	}
+	isOutdated := d.Config > c.board.Get(platform.ConfigKey).Version
+	return isOutdated || isSettled || c.spread.mismatches >= patientDigests
 }
 
 // tellNear passes news on in this failure domain.
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -151,7 +151,7 @@
 		alive += 2 * roundInterval // announcements come round by round
 	}
 	for _, h := range c.roster.Hosts() {
-		isAlive := h.Host == c.self || h.IsHeard && now.Sub(h.HeardAt) < alive
+		isAlive := h.Host == c.self || h.IsHeard && now.Sub(h.HeardAt) < alive && !h.Announcement.IsCutOff
 		if h.Domain == c.daemon.settings.FailureDomain && isAlive {
 			ranks = append(ranks, xxhash.Sum64String(string(h.Host)))
 		}
--- a/membership/host.go
+++ b/membership/host.go
@@ -39,6 +39,8 @@
 	WarmupMS int64 `json:"warmup_ms,omitempty"`
 	// IsLeaving says that its daemon is stopping. It goes on serving the keys that it still has.
 	IsLeaving bool `json:"leaving,omitempty"`
+	// IsCutOff says that the store turns its host away: it cannot watch for others.
+	IsCutOff bool `json:"cut_off,omitempty"`
 }
 
 // isNewer orders a host's announcements over its registrations.
--- a/peer/control.go
+++ b/peer/control.go
@@ -40,6 +40,8 @@
 type Digest struct {
 	From   string            `json:"from"`
 	Digest membership.Digest `json:"digest"`
+	// Config is the version of the configuration, which has to be in force everywhere in time.
+	Config membership.Version `json:"config"`
 }
 
 // News is what may be new to the receiver.
@@ -108,9 +110,9 @@
 	return nil
 }
 
-// Digest tells a peer the sum of all that is known here.
-func (p *Pool) Digest(to string, digest membership.Digest) {
-	p.notify(to, methodDigest, Digest{From: p.from, Digest: digest})
+// Digest tells a peer the sum of all that is known here, and the version of the configuration.
+func (p *Pool) Digest(to string, digest membership.Digest, config membership.Version) {
+	p.notify(to, methodDigest, Digest{From: p.from, Digest: digest, Config: config})
 }
 
 // notify queues a notification; a full queue drops it.
