--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -264,13 +264,13 @@
 	c.config = &class.Config{}
 	c.spread.heardAt = now
 	hear := func(count uint32, isCutOff bool) {
-		for i := range 9 {
+		for i := range 30 {
 			host := ownership.HostID(fmt.Sprint("near-", i))
 			c.roster.Register(membership.Presence{Host: host, Domain: "d", Hop: string(host)}, membership.Version(i+1))
 			c.roster.Hear(now, membership.Announcement{Host: host, Epoch: 1, Count: count, IsCutOff: isCutOff})
 		}
 	}
-	c.roster.Register(membership.Presence{Host: "h", Domain: "d", Hop: "h"}, 9)
+	c.roster.Register(membership.Presence{Host: "h", Domain: "d", Hop: "h"}, 99)
 	hear(1, false)
 	g.Expect(c.isWatcher(now)).To(gomega.BeFalse())
 	hear(2, true)
