--- a/soak/faults.go
+++ b/soak/faults.go
@@ -20,13 +20,15 @@
 	end       func(r *run, h *deployment.Host)
 }
 
+//go:generate go tool stringer -type=scope -linecomment
+
 // scope is how far a fault reaches.
 type scope int
 
 const (
-	nowhere scope = iota
-	onHost
-	everywhere
+	nowhere    scope = iota // nowhere
+	onHost                  // on_host
+	everywhere              // everywhere
 )
 
 // Figures of the faults.
@@ -49,12 +51,12 @@
 		{name: "reload", begin: signal(syscall.SIGHUP), end: signal(syscall.SIGHUP)},
 		{name: "server crash", begin: crash, end: startServer},
 		{name: "server drain", begin: drain, end: startServer},
-		{name: "cut", excuses: true, unsettles: onHost, begin: links(Trouble{HoldTo: true, HoldFrom: true}, peerLinks...), end: clear(peerLinks...)},
-		{name: "cut one way", excuses: true, unsettles: onHost, begin: links(Trouble{HoldTo: true}, peerLinks...), end: clear(peerLinks...)},
-		{name: "slow links", unsettles: onHost, begin: links(Trouble{Delay: slowLink}, peerLinks...), end: clear(peerLinks...)},
+		{name: "cut", excuses: true, unsettles: onHost, begin: links(Trouble{HoldTo: true, HoldFrom: true}, peerLinks...), end: mend(peerLinks...)},
+		{name: "cut one way", excuses: true, unsettles: onHost, begin: links(Trouble{HoldTo: true}, peerLinks...), end: mend(peerLinks...)},
+		{name: "slow links", unsettles: onHost, begin: links(Trouble{Delay: slowLink}, peerLinks...), end: mend(peerLinks...)},
 		{name: "reset", excuses: true, unsettles: onHost, begin: resetLinks, end: resetLinks},
-		{name: "store silent", unsettles: onHost, begin: links(Trouble{HoldTo: true, HoldFrom: true}, deployment.ToStore), end: clear(deployment.ToStore)},
-		{name: "store refuses", unsettles: onHost, begin: refuseStore, end: clear(deployment.ToStore)},
+		{name: "store silent", unsettles: onHost, begin: links(Trouble{HoldTo: true, HoldFrom: true}, deployment.ToStore), end: mend(deployment.ToStore)},
+		{name: "store refuses", unsettles: onHost, begin: refuseStore, end: mend(deployment.ToStore)},
 		{name: "store forgets host", unsettles: onHost, begin: forget},
 		{name: "store down", unsettles: everywhere, begin: storeDown(false), end: storeUp},
 		{name: "store lapses", unsettles: everywhere, begin: storeDown(true), end: storeUp},
@@ -136,7 +138,7 @@
 	}
 }
 
-func clear(which ...deployment.Link) func(*run, *deployment.Host) {
+func mend(which ...deployment.Link) func(*run, *deployment.Host) {
 	return links(Trouble{}, which...)
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -213,7 +213,7 @@
 	r.deployment.StoreLoses(0)
 	for _, h := range r.deployment.Hosts {
 		_ = h.Signal(syscall.SIGCONT) // it may have ended
-		clear(deployment.ToStore, deployment.ToServer, deployment.ToHop, deployment.ToControl)(r, h)
+		mend(deployment.ToStore, deployment.ToServer, deployment.ToHop, deployment.ToControl)(r, h)
 		startServer(r, h)
 		startDaemon(r, h)
 	}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,7 +19,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
-	"github.com/skylarkrelay/skylarkrelay/operator"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/platform"
 	"github.com/skylarkrelay/skylarkrelay/store"
@@ -63,46 +61,6 @@
 	stopTimeout = 8 * time.Second
 )
 
-// Host is one host: a daemon's process and a backend server.
-type Host struct {
-	ID    ownership.HostID
-	Group Group
-	ip    string
-	links links
-
-	mu      sync.Mutex
-	server  *Server
-	process *exec.Cmd
-	exited  chan struct{}
-}
-
-// daemon returns the host's process and the channel that closes when it has ended.
-func (h *Host) daemon() (*os.Process, <-chan struct{}) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.process.Process, h.exited
-}
-
-// PID returns the id of the host's daemon.
-func (h *Host) PID() int {
-	process, _ := h.daemon()
-	return process.Pid
-}
-
-// IP returns the host's IP number.
-func (h *Host) IP() string { return h.ip }
-
-// links are the addresses at which the ends of a host's links find each other.
-type links struct{ store, server, advertise string }
-
-// Caller returns the address for callers.
-func (h *Host) Caller() string { return h.address(callerPort) }
-
-// Operator returns the address for operators.
-func (h *Host) Operator() string { return h.address(firstPort + 2) }
-
-func (h *Host) address(port int) string { return net.JoinHostPort(h.ip, strconv.Itoa(port)) }
-
 // Deployment is a running deployment.
 type Deployment struct {
 	Ledger *Ledger
@@ -122,18 +80,20 @@
 // nets counts the deployments of this process, so that each has a loopback network of its own.
 var nets atomic.Int64
 
+//go:generate go tool stringer -type=Link -linecomment
+
 // Link is a way between two parts of a deployment.
 type Link int
 
 const (
 	// ToStore leads from a daemon to the store.
-	ToStore Link = iota
+	ToStore Link = iota // to_store
 	// ToServer leads from a daemon to its backend server.
-	ToServer
-	// ToHop and ToControl lead from other daemons to a daemon.
-	ToHop
-	// ToControl is for control messages.
-	ToControl
+	ToServer // to_server
+	// ToHop leads from other daemons to a daemon, for calls.
+	ToHop // to_hop
+	// ToControl leads from other daemons to a daemon, for control messages.
+	ToControl // to_control
 )
 
 // Wiring returns the address at which one end of a host's link finds the other end, which listens at the given one.
@@ -335,71 +295,6 @@
 	return found
 }
 
-// IsRunning tells whether the host's daemon runs.
-func (h *Host) IsRunning() bool {
-	_, exited := h.daemon()
-	select {
-	case <-exited:
-		return false
-	default:
-		return true
-	}
-}
-
-// Signal sends a signal to a host's daemon.
-func (h *Host) Signal(s syscall.Signal) error {
-	process, _ := h.daemon()
-	return process.Signal(s)
-}
-
-// Kill ends a host's daemon at once.
-func (h *Host) Kill() {
-	process, exited := h.daemon()
-	_ = process.Kill() // it may have ended
-	<-exited
-}
-
-// Terminate ends a host's daemon in order and tells whether it ended in time.
-func (h *Host) Terminate() bool {
-	process, exited := h.daemon()
-	_ = process.Signal(syscall.SIGTERM) // it may have ended
-	select {
-	case <-exited:
-		return true
-	case <-time.After(stopTimeout):
-		_ = process.Kill() // it may have ended meanwhile
-		<-exited
-		return false
-	}
-}
-
-// Crash ends a host's backend server, if there is one.
-func (h *Host) Crash() {
-	h.mu.Lock()
-	server := h.server
-	h.server = nil
-	h.mu.Unlock()
-	if server != nil {
-		server.end()
-	}
-}
-
-// HasServer tells whether the host's backend server runs.
-func (h *Host) HasServer() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.server != nil
-}
-
-// Drain makes a host's backend server say that it leaves, if there is one.
-func (h *Host) Drain() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.server != nil {
-		h.server.Drain()
-	}
-}
-
 // StoreDown makes the store answer nothing but 503 until it is up again. Leases pause or run out meanwhile.
 func (d *Deployment) StoreDown(lapse bool) { d.faults.down(lapse) }
 
@@ -446,11 +341,6 @@
 	return record
 }
 
-// Status asks a host's daemon.
-func (h *Host) Status(ctx context.Context) (operator.Status, error) {
-	return operator.NewClient(h.Operator()).Status(ctx)
-}
-
 // Logs returns what a host's daemons wrote.
 func (d *Deployment) Logs(h *Host) string {
 	data, err := os.ReadFile(filepath.Join(d.dir, string(h.ID)+".log"))
@@ -471,9 +361,3 @@
 	}
 	_ = d.server.Close() // nobody is left
 }
-
-func (h *Host) isStarted() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.process != nil
-}
