--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -10,7 +10,7 @@
 	}
 	left := job.Deadline.Sub(now)
 	if t.saturated {
-		// Half of the target is a queue long enough to keep the server busy, and leaves room for a wrong forecast.
+		// A part of the target is a queue long enough to keep the server busy, and leaves room for a wrong forecast.
 		left = min(left, l.expected()+time.Duration(patience*float64(l.class.Latency)))
 	}
 	excess := t.forecast(l) + l.expected() - left
