refactor: rounds and urgent news go one way; heartbeats that need not wait count no keys

A round of announcements chose its receivers by its own copy of what tellNear does. Each heartbeat counted this host's keys over the whole record, which only one that waits for promised keys needs. Behaviour is the same.

--- a/daemon/beats.go
+++ b/daemon/beats.go
@@ -59,7 +59,10 @@
 	if c.server.state == ownership.ServerReady {
 		beat.until = c.keysComeBy(now)
 	}
-	beat.generation, beat.keys = c.ownKeys()
+	if beat.until > now {
+		// Counting walks the whole record, so heartbeats that need not wait go without it.
+		beat.generation, beat.keys = c.ownKeys()
+	}
 	c.waiting = beat
 }
 
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -310,12 +310,7 @@
 		announcements = append(announcements, a)
 	}
 	clear(c.spread.pending)
-	near, _ := c.neighbours()
-	isRelayed := len(near) > smallMesh
-	if isRelayed {
-		near = c.some(near, roundFanout)
-	}
-	c.push(near, peer.News{Announcements: announcements, Relay: isRelayed})
+	c.tellSome(roundFanout, peer.News{Announcements: announcements})
 }
 
 // partner returns the daemon to compare with next, or nothing.
--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -5,12 +5,15 @@
 	"github.com/skylarkrelay/skylarkrelay/peer"
 )
 
-// tellNear passes news on in this failure domain.
-func (c *control) tellNear(news peer.News) {
+// tellNear passes news on in this failure domain at once.
+func (c *control) tellNear(news peer.News) { c.tellSome(fanout, news) }
+
+// tellSome passes news on in this failure domain: to all daemons of a small one, else to so many, which pass it on.
+func (c *control) tellSome(count int, news peer.News) {
 	near, _ := c.neighbours()
 	news.Relay = len(near) > smallMesh
 	if news.Relay {
-		near = c.some(near, fanout)
+		near = c.some(near, count)
 	}
 	c.push(near, news)
 }
