--- a/soak/run.go
+++ b/soak/run.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"net"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -281,6 +280,3 @@
 		}
 	}
 }
-
-// LogOf returns where the log of a host is kept.
-func LogOf(dir string, h ownership.HostID) string { return filepath.Join(dir, string(h)+".log") }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,9 @@
 	logs   = flag.String("soak.logs", "", "the directory in which the logs of failed runs are kept")
 )
 
+// cleanupTime is how long before the end of the tests' time a run is given up: a daemon that is asked to end may take 8 s.
+const cleanupTime = 15 * time.Second
+
 // callInterval is the pause between two calls of one class through one daemon of a small deployment.
 const callInterval = 60 * time.Millisecond
 
@@ -88,7 +91,14 @@
 func runSeed(t *testing.T, path string, seed uint64, long time.Duration) {
 	dir := t.TempDir()
 	p, interval := planned(t)
-	result, err := soak.Run(context.Background(), soak.Options{
+	ctx := context.Background()
+	if deadline, isBounded := t.Deadline(); isBounded {
+		// A test that runs out of time ends the process at once, and would leave the daemons behind.
+		bounded, cancel := context.WithDeadline(ctx, deadline.Add(-cleanupTime))
+		defer cancel()
+		ctx = bounded
+	}
+	result, err := soak.Run(ctx, soak.Options{
 		Seed: seed, Plan: p, Binary: path, Dir: dir, Length: long, CallInterval: interval,
 	})
 	t.Logf("served again after %s\n%s", result.Recovery.Round(time.Millisecond), strings.Join(deployment.Lines(result.Tallies), "\n"))
--- a/soak/watch.go
+++ b/soak/watch.go
@@ -74,17 +74,18 @@
 
 // isUnsettled tells whether a fault of some time may have held up a configuration on a host.
 func (r *run) isUnsettled(h *deployment.Host, from, to time.Time) bool {
-	return r.wasStruck(h, from.Add(-calmTime), to, func(s strike) bool {
+	return r.wasStruck(from.Add(-calmTime), to, func(s strike) bool {
 		return s.fault.unsettles == everywhere || s.fault.unsettles == onHost && s.host == h.ID
 	})
 }
 
 // isExcused tells whether callers of a host may have seen broken connections in some time.
 func (r *run) isExcused(h *deployment.Host, from, to time.Time) bool {
-	return r.wasStruck(h, from.Add(-calmTime), to, func(s strike) bool { return s.fault.excuses && s.host == h.ID })
+	return r.wasStruck(from.Add(-calmTime), to, func(s strike) bool { return s.fault.excuses && s.host == h.ID })
 }
 
-func (r *run) wasStruck(_ *deployment.Host, from, to time.Time, counts func(strike) bool) bool {
+// wasStruck tells whether a fault that counts struck in some time.
+func (r *run) wasStruck(from, to time.Time, counts func(strike) bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.struck {
