fix(link): bound the heads of a response

Cause: a server in trouble may send a head line, header fields or informational responses without end. net/http's reader has no limit there, so one call allocated up to 770 MB in 300 ms (TestEndlessBytesAreNoAnswer before the change) on hosts of 184 MB. Change: all heads read for one request share a limit of 64 KiB; bodies are limited to 8 MiB (64 before), so that four of them at once fit.

The test plays thirteen kinds of endless bytes, fast and as a trickle: the call ends by its deadline as lost, the connection is closed, the next call gets its own answer. TestHungConnectionIsNotUsedAgain shows that a connection whose answer is owed carries no second call (it passed before too).

--- a/backend/client.go
+++ b/backend/client.go
@@ -27,8 +27,9 @@
 	ackTimeout = 2 * time.Second
 	// idleTimeout is how long an idle connection is kept, unless the server's Keep-Alive header announces a shorter time.
 	idleTimeout = 5 * time.Second
-	// maxResponseBody is the size limit of a response body in bytes.
-	maxResponseBody = 64 << 20
+	// maxResponseBody is the size limit of a response body in bytes. A server in trouble may send a body without end on
+	// each of its connections, and all of them together have to fit into the memory of a small host.
+	maxResponseBody = 8 << 20
 )
 
 // Client sends calls to one backend server.
--- a/link/conn.go
+++ b/link/conn.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -25,6 +26,9 @@
 	// maxResponseReads is the number of responses that are read in search of the accepted one. The others belong to
 	// other requests and are skipped.
 	maxResponseReads = 4
+	// maxHeadBytes limits the heads of all responses that are read for one request, informational ones among them. The
+	// limit counts whole reads into the buffer, so a short body may be part of it.
+	maxHeadBytes = 64 << 10
 	// maxPooledBuffer is the capacity up to which a request buffer is kept for later requests.
 	maxPooledBuffer = 64 << 10
 )
@@ -36,11 +40,50 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head limits the bytes that are read outside of bodies.
+	head *headLimit
 	// idleUntil is the time until which the connection may stay idle. It ends before the server's own idle timeout if
 	// the server announced one.
 	idleUntil time.Time
 }
 
+func newConn(raw net.Conn) *conn {
+	head := &headLimit{reader: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferSize), head: head}
+}
+
+// HeadTooLargeError reports a response whose head, together with those of the responses skipped before it, exceeds the
+// limit.
+type HeadTooLargeError struct{ Bytes int64 }
+
+// Error implements error.
+func (e *HeadTooLargeError) Error() string {
+	return fmt.Sprintf("response head exceeds the limit of %d bytes", e.Bytes)
+}
+
+// headLimit is a reader that fails once the heads of one exchange exceed maxHeadBytes. Without it, a server that sends
+// a head line or header fields without end would fill the memory until the deadline of the call.
+type headLimit struct {
+	reader io.Reader
+	// remaining is how many bytes of heads may still be read.
+	remaining int64
+	// isInBody disables the limit while a body is read, which has a limit of its own.
+	isInBody bool
+}
+
+// Read implements io.Reader.
+func (h *headLimit) Read(p []byte) (int, error) {
+	if h.isInBody {
+		return h.reader.Read(p)
+	}
+	if h.remaining <= 0 {
+		return 0, &HeadTooLargeError{Bytes: maxHeadBytes}
+	}
+	n, err := h.reader.Read(p)
+	h.remaining -= int64(n)
+	return n, err
+}
+
 // isClean reports whether an idle connection is open and has no unread bytes.
 func (c *conn) isClean() bool {
 	if c.reader.Buffered() > 0 {
@@ -78,6 +121,7 @@
 		}
 		return nil, &LostError{Cause: err}
 	}
+	c.head.remaining = maxHeadBytes
 	for range maxResponseReads {
 		response, err := c.readResponse(r, maxBody)
 		if err != nil {
@@ -122,7 +166,9 @@
 	if head.ContentLength > maxBody {
 		return nil, &TooLargeError{Bytes: head.ContentLength}
 	}
+	c.head.isInBody = true
 	body, err := io.ReadAll(io.LimitReader(head.Body, maxBody+1))
+	c.head.isInBody = false
 	if err != nil {
 		return nil, err
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -1,11 +1,11 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -183,7 +183,7 @@
 	if p.options.OnDial != nil {
 		p.options.OnDial()
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return newConn(raw), nil
 }
 
 // release returns a connection to the pool after a complete response, or closes it if it cannot be reused.
@@ -213,13 +213,29 @@
 		idle = min(idle, p.options.SpareIdleTimeout)
 	}
 	c.idleUntil = now.Add(idle)
-	for len(p.idle) > 0 && !now.Before(p.idle[0].idleUntil) {
-		_ = p.idle[0].Close() // it may already be closed
-		p.idle = p.idle[1:]
-	}
+	p.closeExpired(now)
 	p.idle = append(p.idle, c)
 }
 
+// CloseExpired closes the idle connections that have reached their idle timeout.
+func (p *Pool) CloseExpired() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeExpired(p.clock.Now())
+}
+
+// closeExpired does the work of CloseExpired. Idle timeouts differ, so an expired connection may be anywhere in the
+// list. The caller holds the lock.
+func (p *Pool) closeExpired(now time.Time) {
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		isExpired := !now.Before(c.idleUntil)
+		if isExpired {
+			_ = c.Close() // it may already be closed
+		}
+		return isExpired
+	})
+}
+
 // Preconnect opens a connection for the first request, unless there is an idle one or the pool is closed.
 func (p *Pool) Preconnect(ctx context.Context) error {
 	p.mu.Lock()
