--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -120,7 +120,7 @@
 		d.addStore,
 		d.addGossip,
 		d.addHop,
-		d.addHopPreconnect,
+		d.addHopConnections,
 		d.addHeartbeats,
 		d.addReady,
 		d.addOperator,
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -80,9 +80,9 @@
 	return d.serve(group, "hop", d.settings.ForwardAddress(), handler)
 }
 
-// addHopPreconnect adds a loop that opens connections to new hosts before calls need them.
-func (d *Daemon) addHopPreconnect(ctx context.Context, group *run.Group) error {
-	addLoop(ctx, group, d.hops.Preconnect)
+// addHopConnections adds a loop that opens connections to new hosts before calls need them, and closes expired ones.
+func (d *Daemon) addHopConnections(ctx context.Context, group *run.Group) error {
+	addLoop(ctx, group, d.hops.MaintainConnections)
 	return nil
 }
 
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -54,6 +56,8 @@
 	// two of these connections. A host that connects to a whole mesh at once has no processor time left for calls.
 	connectQueueCapacity = 128
 	connectInterval      = 25 * time.Millisecond
+	// expiryInterval is how often idle connections that have expired are closed, also those of addresses without calls.
+	expiryInterval = time.Second
 	// hopMaxIdleConns limits the idle connections to one host.
 	hopMaxIdleConns = 16
 	// hopMaxBody is the size limit in bytes of the body of a forwarded call or its response.
@@ -86,7 +90,7 @@
 	clock  clockwork.Clock
 	onDial func()
 
-	// connectQueue holds the new addresses to which Preconnect has not connected yet.
+	// connectQueue holds the new addresses to which MaintainConnections has not connected yet.
 	connectQueue chan string
 
 	mu    sync.Mutex
@@ -149,12 +153,28 @@
 	}
 }
 
-// Preconnect opens a first connection to each new address, one after the other, until the context ends.
-func (h *HopClient) Preconnect(ctx context.Context) error {
+// closeExpired closes the idle connections that have reached their idle timeout.
+func (h *HopClient) closeExpired() {
+	h.mu.Lock()
+	pools := slices.Collect(maps.Values(h.pools))
+	h.mu.Unlock()
+	for _, p := range pools {
+		p.CloseExpired()
+	}
+}
+
+// MaintainConnections opens a first connection to each new address, one after the other, and closes idle connections
+// that have expired, until the context ends.
+func (h *HopClient) MaintainConnections(ctx context.Context) error {
+	expiry := h.clock.NewTicker(expiryInterval)
+	defer expiry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-expiry.Chan():
+			h.closeExpired()
+			continue
 		case address := <-h.connectQueue:
 			// If this fails, the first call connects again.
 			_ = h.poolFor(address).Preconnect(ctx)
--- a/peer/store.go
+++ b/peer/store.go
@@ -52,6 +52,8 @@
 		err = s.Renew(ctx, c.Renew)
 	case c.Revoke != 0:
 		err = s.Revoke(ctx, c.Revoke)
+	default:
+		err = &store.RejectedError{Call: "for a peer", Cause: "the request names no call"}
 	}
 	result.setError(err)
 	return result
@@ -117,9 +119,15 @@
 // Get implements store.Store.
 func (s RelayedStore) Get(ctx context.Context, key string) (store.Item, error) {
 	result, err := s.call(ctx, StoreCall{Get: key})
-	if err != nil || len(result.Items) != 1 {
+	if err != nil {
 		return store.Item{}, err
 	}
+	if len(result.Items) != 1 {
+		return store.Item{}, &store.IndeterminateError{
+			Call:  "by a peer",
+			Cause: &MessageError{Part: methodStore, Cause: "the result of a read has no item"},
+		}
+	}
 	return result.Items[0], nil
 }
 
