fix(caller): a deadline that passed is not reported as caller_gone, and bounds the reading of a body

Cause: the end of a context was taken for a caller that left, also at the deadline (finalResult, rejectionResult); the deadline of a call was set only after its body was read, so a trickling body held the call beyond the class's timeout. TestQueuedCallPastItsDeadlineIsLate and TestSlowBodyEndsAtTheTimeout failed before (the latter never ended).

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -134,6 +134,27 @@
 	}
 }
 
+// TestQueuedCallPastItsDeadlineIsLate covers a queued call whose context ends at its deadline: its caller is still
+// there.
+func TestQueuedCallPastItsDeadlineIsLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	arrived := make(chan struct{}, 2)
+	r, _ := newRunner(startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	}), unchanged)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 2 {
+		go r.Run(ctx, newCall(time.Minute))
+		<-arrived
+	}
+	queued := newCall(time.Minute)
+	expiring, cancelExpiring := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancelExpiring()
+	g.Expect(r.Run(expiring, queued).Reason).To(gomega.Equal(call.Late))
+}
+
 func TestRequestHeaders(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var got http.Header
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -158,7 +158,7 @@
 		if ctx.Err() == nil {
 			return call.Result{}, false
 		}
-		return call.NotRun(call.CallerGone), true
+		return call.NotRun(call.EndReason(ctx)), true
 	default:
 		result := call.NotRun(call.Overload)
 		result.RetryAfter = rejected.RetryAfter
--- a/call/call.go
+++ b/call/call.go
@@ -2,6 +2,8 @@
 package call
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -83,6 +85,15 @@
 	return AnswerLost
 }
 
+// EndReason returns the reason for which a call whose context has ended did not run: Late if its deadline has passed,
+// otherwise CallerGone.
+func EndReason(ctx context.Context) Reason {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return Late
+	}
+	return CallerGone
+}
+
 // Result is the outcome of a call or of one attempt, with the response of the backend server if it was answered.
 type Result struct {
 	Outcome class.Outcome
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -1,7 +1,10 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -71,8 +74,8 @@
 	}
 }
 
-// serve sends one request to a handler whose attempts go to a scripted sender.
-func serve(s *scriptedSender, change func(*caller.Handler, *http.Request)) *httptest.ResponseRecorder {
+// newHandler returns a handler whose attempts go to a sender.
+func newHandler(s caller.Sender) *caller.Handler {
 	clock := clockwork.NewRealClock()
 	table := caller.NewTable()
 	table.Set(newRoutes())
@@ -85,6 +88,12 @@
 		Services: map[class.Service]class.ServiceSettings{"free": {}, "keyed": {IsKeyed: true}},
 		Limits:   class.Limits{BodyBytes: 10},
 	})
+	return handler
+}
+
+// serve sends one request to a handler whose attempts go to a scripted sender.
+func serve(s *scriptedSender, change func(*caller.Handler, *http.Request)) *httptest.ResponseRecorder {
+	handler := newHandler(s)
 	r := httptest.NewRequest(http.MethodGet, "http://h/r/1?q=%2F", http.NoBody)
 	r.Header.Set(call.DefaultHeaderNames().RequestID, "id-1")
 	change(handler, r)
@@ -101,6 +110,28 @@
 	}
 }
 
+// TestSlowBodyEndsAtTheTimeout covers a caller that sends the body of its request as a trickle. The call ends at the
+// timeout of its class, and nothing of it has run.
+func TestSlowBodyEndsAtTheTimeout(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &scriptedSender{}
+	handler := newHandler(s)
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /k/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n12345")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	start := time.Now()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer response.Body.Close()
+	g.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", time.Second), "the timeout of the class is 200 ms")
+	g.Expect(s.hosts).To(gomega.BeEmpty())
+}
+
 func TestOutcomes(t *testing.T) {
 	lost, shed := call.Unknown(call.AnswerLost), call.NotRun(call.Shed)
 	for name, c := range map[string]struct {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -138,7 +139,7 @@
 		}
 		c.Key, c.HasKey = class.Key(key), true
 	}
-	body, reason := readBody(w, r, config.Limits.BodyBytes)
+	body, reason := h.readBody(w, r, config.Limits.BodyBytes, timeout)
 	if reason != call.None {
 		return c, call.NotRun(reason), false
 	}
@@ -166,11 +167,22 @@
 	return min(requested, matched.Timeout), true
 }
 
-// readBody reads the whole body before the call is sent, so that no part of a truncated request is forwarded.
-func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, call.Reason) {
+// readBody reads the whole body before the call is sent, so that no part of a truncated request is forwarded. A body
+// that is not complete within the call's timeout ends the call.
+func (h *Handler) readBody(
+	w http.ResponseWriter, r *http.Request, maxBytes int64, timeout time.Duration,
+) ([]byte, call.Reason) {
 	if r.ContentLength == 0 {
 		return nil, call.None
 	}
+	if timeout > 0 {
+		// Connections measure deadlines by the operating system's clock, not by the injected one. Recorders of tests
+		// have no deadlines, and then the read is not limited.
+		connection := http.NewResponseController(w)
+		if err := connection.SetReadDeadline(time.Now().Add(timeout)); err == nil {
+			defer func() { _ = connection.SetReadDeadline(time.Time{}) }() // fails only if the connection is closed
+		}
+	}
 	reader := r.Body
 	if maxBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, maxBytes)
@@ -184,6 +196,8 @@
 		return nil, call.TooLarge
 	case errors.Is(err, context.Canceled):
 		return nil, call.CallerGone
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, call.Late
 	default:
 		return nil, call.BadRequest
 	}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -256,8 +256,8 @@
 	if state.mayHaveRun {
 		return call.Unknown(call.AnswerLost)
 	}
-	if ctx.Err() != nil && result.Reason != call.Late {
-		result.Reason = call.CallerGone
+	if ctx.Err() != nil {
+		result.Reason = call.EndReason(ctx)
 	}
 	hasNoServer := result.Reason == call.NotOwner || result.Reason == call.Unreachable || result.Reason == call.NoServer
 	if hasNoServer {
