fix(ownership): no write for moves without a receiver

Cause: transfers without a new owner counted as moved, so a generation was written that moved nothing. A record that cannot be encoded is tried again after the retry delay only. TestKeysWithoutAReceiverAreNotWritten failed before.

--- a/ownership/machine_test.go
+++ b/ownership/machine_test.go
@@ -69,6 +69,30 @@
 	}
 }
 
+// TestKeysWithoutAReceiverAreNotWritten lets a backend server end while the host that its keys were to move to can no
+// longer be assigned any. No write moves nothing.
+func TestKeysWithoutAReceiverAreNotWritten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, _ := newOwnerMachine(64)
+	now := ownership.Instant(time.Minute)
+	m.Renewed(now, now)
+	m.Heartbeat(now, heartbeatWith(1, nil))
+	m.Heartbeat(now+1, heartbeatWith(2, m.HeartbeatResponse(now).Grants))
+	m.SetPeers(now, []ownership.Peer{
+		{Host: "a", IsPresent: true, Instance: instance}, {Host: "b", IsPresent: true, IsEligible: true},
+	})
+	m.SetServerState(now, ownership.ServerDraining) // plans the moves to b, which wait until the keys are released
+	effects := m.SetPeers(now, []ownership.Peer{
+		{Host: "a", IsPresent: true, Instance: instance}, {Host: "b", IsPresent: true},
+	})
+	effects = append(effects, m.SetServerState(now, ownership.ServerEnded)...)
+	effects = append(effects, m.Tick(now.Add(time.Second))...)
+	for _, e := range effects {
+		_, isWrite := e.(ownership.WriteRecord)
+		g.Expect(isWrite).To(gomega.BeFalse(), "%v", e)
+	}
+}
+
 // TestAnswersFitWhateverIsOwned gives a host more grants than fit into a heartbeat response, then fewer again. The
 // fences that the backend server sees never decrease.
 func TestAnswersFitWhateverIsOwned(t *testing.T) {
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -71,6 +71,7 @@
 	}
 	data, err := d.record.Encode()
 	if err != nil {
+		m.writeNotBefore = now.Add(m.timing.RetryDelay)
 		return []Effect{Event{Kind: EventWriteRefused, Detail: err.Error()}}
 	}
 	txn := store.Txn{
@@ -338,9 +339,9 @@
 	var unplaced []placement.LoadedSpan
 	handovers := map[keyspace.Span]HandoverToken{}
 	for _, t := range transfers {
-		keys += t.span.Size()
 		if owner := m.eligibleMember(d.record, t.to); owner != NoMember {
 			d.record.assign(t.span, owner, t.handover)
+			keys += t.span.Size()
 			continue
 		}
 		unplaced = append(unplaced, placement.LoadedSpan{Span: t.span})
@@ -349,8 +350,12 @@
 	for _, move := range placement.Reassign(unplaced, m.placementState(d.record, m.self)) {
 		if owner := m.eligibleMember(d.record, m.peers[move.To].Host); owner != NoMember {
 			d.record.assign(move.Span, owner, handovers[move.Span])
+			keys += move.Span.Size()
 		}
 	}
+	if keys == 0 {
+		return // no host can be assigned keys now
+	}
 	d.isChanged = true
 	d.events = append(d.events, Event{Kind: EventKeysMoved, Keys: keys})
 }
