fix(admission): late jobs of a saturated server get a Retry-After; a returning class is served

Controller.SetClasses and Memory.ExpireLeases had no callers and go. The largest share of a load gap that one span may carry is named as it is computed (0.75, unchanged), and the comparison of announcements drops a min without effect.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -63,14 +63,6 @@
 	return &Controller{clock: clock, policy: policy, limit: NewConcurrencyLimit(concurrency)}
 }
 
-// SetClasses replaces the classes in force. Queued calls are affected too.
-func (c *Controller) SetClasses(classes []class.Class) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.policy.SetClasses(c.clock.Now(), classes)
-	c.dispatch()
-}
-
 // SetConcurrency sets the number of calls that the server runs at a time, and resets the concurrency limit to it.
 func (c *Controller) SetConcurrency(concurrency int) {
 	c.mu.Lock()
--- a/admission/target_policy.go
+++ b/admission/target_policy.go
@@ -129,8 +129,8 @@
 	if updated.Success == 0 {
 		updated.Success = defaultSuccess
 	}
-	isUnchanged := known != nil && known.class.Rank == updated.Rank && known.class.Latency == updated.Latency &&
-		known.class.Success == updated.Success
+	isUnchanged := known != nil && slices.Contains(t.byRank, known) && known.class.Rank == updated.Rank &&
+		known.class.Latency == updated.Latency && known.class.Success == updated.Success
 	if isUnchanged {
 		return
 	}
@@ -204,7 +204,9 @@
 	decisions := s.queue.expire(now, s.expectedServiceTime())
 	decisions = append(decisions, s.lateQueue.expire(now, s.expectedServiceTime())...)
 	for t.saturated && s.lateQueue.peek() != nil {
-		decisions = append(decisions, Decision{Job: s.lateQueue.pop()})
+		job := s.lateQueue.pop()
+		job.RetryAfter = t.startInterval(s)
+		decisions = append(decisions, Decision{Job: job})
 	}
 	isFlooding := t.overloaded && s.isFlooding
 	for {
--- a/admission/target_policy_test.go
+++ b/admission/target_policy_test.go
@@ -18,6 +18,51 @@
 	}
 }
 
+// TestLateJobsOfASaturatedServerAreToldWhenToReturn covers a server that becomes saturated while jobs are queued that
+// have missed their latency target.
+func TestLateJobsOfASaturatedServerAreToldWhenToReturn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	policy := admission.NewTargetPolicy(1)
+	policy.SetClasses(start, []class.Class{urgentClass()})
+	now, id := start, uint64(0)
+	offer := func() {
+		id++
+		policy.Offer(now, &admission.Job{ID: id, Class: "hallmark-query", Arrived: now, Deadline: now.Add(2 * time.Second)})
+	}
+	offer()
+	offer()
+	now = now.Add(200 * time.Millisecond) // both have missed their target: one runs, one is queued as late
+	g.Expect(policy.Next(now)).To(gomega.HaveLen(1))
+	now = now.Add(200 * time.Millisecond)
+	var dropped []admission.Decision
+	for range 1000 {
+		offer()
+	}
+	now = now.Add(200 * time.Millisecond) // the demand window ends: the server is saturated
+	for _, d := range policy.Next(now) {
+		if !d.Run {
+			dropped = append(dropped, d)
+		}
+	}
+	g.Expect(dropped).NotTo(gomega.BeEmpty())
+	for _, d := range dropped {
+		g.Expect(d.Job.RetryAfter).To(gomega.BeNumerically(">", 0), "job %d", d.Job.ID)
+	}
+}
+
+// TestClassThatReturnsIsServed covers a class that was removed from the configuration and is added again unchanged.
+func TestClassThatReturnsIsServed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	policy := admission.NewTargetPolicy(1)
+	c := urgentClass()
+	policy.SetClasses(start, []class.Class{c})
+	policy.SetClasses(start, nil)
+	policy.UpdateClass(start, &c)
+	g.Expect(policy.Offer(start, &admission.Job{Class: c.Name, Arrived: start, Deadline: start.Add(time.Second)})).
+		To(gomega.BeTrue())
+	g.Expect(policy.Next(start)).To(gomega.HaveLen(1))
+}
+
 // TestOneSlowCallDoesNotStarveItsClass guards against one outlier raising the learned service time so far that all
 // later calls of the class are rejected: a server that froze makes one call look very slow.
 func TestOneSlowCallDoesNotStarveItsClass(t *testing.T) {
--- a/membership/host.go
+++ b/membership/host.go
@@ -57,10 +57,8 @@
 // isSameRouting reports whether two announcements of a host lead to the same routes: they differ at most in their load,
 // their epoch and sequence, and the remaining warm-up.
 func (a Announcement) isSameRouting(other Announcement) bool {
-	a.Epoch, a.Sequence, a.Load = other.Epoch, other.Sequence, other.Load
 	// The remaining warm-up decreases without a change of the backend server.
-	a.WarmupMS = min(a.WarmupMS, other.WarmupMS)
-	other.WarmupMS = a.WarmupMS
+	a.Epoch, a.Sequence, a.Load, a.WarmupMS = other.Epoch, other.Sequence, other.Load, other.WarmupMS
 	return a == other
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -152,9 +152,9 @@
 	loadMargin = 0.2
 	// minLoadShare is the fraction of a server's concurrency below which its load is no reason to move keys.
 	minLoadShare = 0.45
-	// maxGapShare is the fraction of the load difference between two servers that a move is meant to carry. A single
-	// span may carry up to 1.5 times as much.
-	maxGapShare = 0.5
+	// maxGapShare is the largest fraction of the load difference between two servers that a single span may carry. Half
+	// of the difference would make them equal; a heavier span still narrows it.
+	maxGapShare = 0.75
 	// minMoveLoad is the load, in concurrent calls, below which a span is not moved.
 	minMoveLoad = 0.02
 )
@@ -255,7 +255,7 @@
 		}
 		to := leastLoaded(servers, loads, self)
 		gap := loads[self] - loads[to]
-		isUseful := span.Load <= 2*maxGapShare*gap*0.75 && span.Load <= excess+minMoveLoad
+		isUseful := span.Load <= maxGapShare*gap && span.Load <= excess+minMoveLoad
 		if to == NoServer || !isUseful || servers[to].Spans >= MaxSpans {
 			continue
 		}
--- a/store/memory.go
+++ b/store/memory.go
@@ -188,14 +188,6 @@
 	return nil
 }
 
-// ExpireLeases ends the leases whose TTL has passed. Most other methods do so too, so that it is only needed while the
-// store gets no other calls.
-func (m *Memory) ExpireLeases() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.expireLeases()
-}
-
 func (m *Memory) expireLeases() {
 	now := m.clock.Now()
 	for id, lease := range m.leases {
