--- a/cmd/logwriter.go
+++ b/cmd/logwriter.go
@@ -20,18 +20,43 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	once    sync.Once
 	done    chan struct{}
+	// droppedLine formats the line that reports how many lines were dropped, in the format of the log.
+	droppedLine func(count int64) string
+
+	mu       sync.RWMutex
+	isClosed bool
 }
 
-func newLogWriter(out io.Writer) *logWriter {
-	w := &logWriter{out: out, lines: make(chan []byte, logQueueCapacity), done: make(chan struct{})}
+func newLogWriter(out io.Writer, isJSON bool) *logWriter {
+	w := &logWriter{
+		out:         out,
+		lines:       make(chan []byte, logQueueCapacity),
+		done:        make(chan struct{}),
+		droppedLine: droppedTextLine,
+	}
+	if isJSON {
+		w.droppedLine = droppedJSONLine
+	}
 	go w.run()
 	return w
 }
 
-// Write implements io.Writer.
+func droppedJSONLine(count int64) string {
+	return fmt.Sprintf("{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"count\":%d}\n", count)
+}
+
+func droppedTextLine(count int64) string {
+	return fmt.Sprintf("[WARN]  log lines dropped: count=%d\n", count)
+}
+
+// Write implements io.Writer. It drops lines after Close.
 func (w *logWriter) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.isClosed {
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -47,14 +72,19 @@
 			w.dropped.Add(1) // the error cannot be logged, as writing the log is what failed
 		}
 		if n := w.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(w.out, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"count\":%d}\n", n)
+			_, _ = io.WriteString(w.out, w.droppedLine(n)) // as above
 		}
 	}
 }
 
-// Close waits for closeFlushTimeout at most until the queued lines are written. Write may not be called afterwards.
+// Close waits for closeFlushTimeout at most until the queued lines are written.
 func (w *logWriter) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.isClosed {
+		w.isClosed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	select {
 	case <-w.done:
 	case <-time.After(closeFlushTimeout):
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -49,12 +49,13 @@
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Limits.MemoryMB<<20)))
 	}
-	out := newLogWriter(c.streams.out)
+	isJSON := s.Log.Format == "json"
+	out := newLogWriter(c.streams.out, isJSON)
 	defer out.Close()
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       string(s.Host),
 		Level:      hclog.LevelFromString(s.Log.Level),
-		JSONFormat: s.Log.Format == "json",
+		JSONFormat: isJSON,
 		Output:     out,
 	})
 	stops := make(chan os.Signal, stopSignalBuffer)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -62,6 +63,28 @@
 	return d
 }
 
+// TestReloadAppliesEachLogLevel changes the log level and then sets it back to that of the start.
+func TestReloadAppliesEachLogLevel(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	next := testSettings()
+	next.Log.Level = "info"
+	log := hclog.New(&hclog.LoggerOptions{Output: &out, Level: hclog.Info})
+	started := next
+	d := New(started, Options{
+		Log: log, Clock: clockwork.NewRealClock(), Reload: func() (settings.Settings, error) { return next, nil },
+	})
+	for _, level := range []string{"debug", "info"} {
+		next.Log.Level = level
+		d.reload()
+		g.Expect(log.GetLevel()).To(gomega.Equal(hclog.LevelFromString(level)))
+	}
+	g.Expect(out.String()).NotTo(gomega.ContainSubstring("needs_restart=true"))
+	next.Retries.Ratio = 0.5
+	d.reload()
+	g.Expect(out.String()).To(gomega.ContainSubstring("needs_restart=true"))
+}
+
 // eventLossStore answers its first watch without items, although changes were made up to the revision that it returns.
 type eventLossStore struct {
 	*store.Memory
--- a/settings/document.go
+++ b/settings/document.go
@@ -84,10 +84,23 @@
 			d.lines[name] = line
 		case unstable.KeyValue:
 			d.lines[prefix+path] = line
+			d.recordInlineFields(&parser, node.Value(), prefix+path)
 		}
 	}
 }
 
+// recordInlineFields records the lines of the fields of an inline table, and of those in its inline tables.
+func (d *document) recordInlineFields(parser *unstable.Parser, value *unstable.Node, name string) {
+	if value.Kind != unstable.InlineTable {
+		return
+	}
+	for fields := value.Children(); fields.Next(); {
+		path, line := keyPath(parser, fields.Node())
+		d.lines[name+"."+path] = line
+		d.recordInlineFields(parser, fields.Node().Value(), name+"."+path)
+	}
+}
+
 // keyPath returns the dotted path and the line of an expression's key.
 func keyPath(parser *unstable.Parser, node *unstable.Node) (string, int) {
 	var parts []string
@@ -166,7 +179,8 @@
 // integer reads an integer from lower to upper, inclusive.
 func (d *document) integer(name string, fallback *int64, lower, upper int64) int64 {
 	value := field(d, name, "a whole number", fallback)
-	if d.lines[name] > 0 && (value < lower || value > upper) {
+	given, _ := d.lookup(name)
+	if _, isInteger := given.(int64); isInteger && (value < lower || value > upper) {
 		d.addProblem(name, fmt.Sprintf("must be from %d to %d", lower, upper))
 	}
 	return value
@@ -188,7 +202,8 @@
 		d.addProblem(name, "must be a number")
 		return 0
 	}
-	if number < lower || number > upper {
+	isWithin := number >= lower && number <= upper // false for NaN
+	if !isWithin {
 		d.addProblem(name, fmt.Sprintf("must be from %g to %g", lower, upper))
 	}
 	return number
