perf(daemon): few calls to the store at the start and at size

Cause: (1) a daemon without a configuration watched the store for itself, so all daemons of a starting mesh were answered at each registration; (2) a host counted as alive for watching only for 2.1 s after its announcement, which in meshes of more than some 175 hosts come further apart, so that almost every daemon took itself for the watcher of its failure domain and read everything again each time; (3) each start read the epoch, the record (services without keys too), and all values.

Change: a registered host counts as alive for one and a half announcement intervals and at the start; the other hosts and the configuration are read once, after the own registration; everything is read only by a watcher; the first attempt to register takes the place of the epoch's read; renewals each 1.5 s. TestOnlyTheFirstHostsOfALargeDomainWatch failed before.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -58,7 +58,10 @@
 	ctx        context.Context
 	asyncCalls sync.WaitGroup
 
-	registrar         *membership.Registrar
+	registrar *membership.Registrar
+	// registered is closed at the first registration.
+	registered        chan struct{}
+	registeredOnce    sync.Once
 	machine           *ownership.StateMachine
 	epoch             ownership.Epoch
 	server            serverState
@@ -69,6 +72,9 @@
 	config            *class.Config
 	loadMeter         loadMeter
 	permit            permitInputs
+	// isRecordReadDue is set while the ownership machine waits for a read of the record that has not been started. A
+	// service without keys has no record, so the read waits for the configuration.
+	isRecordReadDue bool
 	// isDirty is set when the routes have to be recomputed.
 	isDirty        bool
 	isShuttingDown bool
@@ -82,23 +88,24 @@
 	layout := ownership.StoreLayout{Prefix: platform.KeyPrefix}
 	random := rand.New(rand.NewPCG(seed, 3))
 	c := &control{
-		daemon:    d,
-		log:       o.Log,
-		observer:  d.observer,
-		clock:     o.Clock,
-		bootClock: o.BootClock,
-		random:    random,
-		layout:    layout,
-		self:      d.settings.Host,
-		service:   d.settings.Service,
-		replica:   membership.NewReplica(),
-		roster:    membership.NewRoster(time.Duration(missedAnnouncements * float64(minAnnounceInterval))),
-		table:     table,
-		relay:     relay,
-		budget:    budget,
-		runner:    d.runner,
-		inbox:     make(chan func(ownership.Instant), inboxCapacity),
-		registrar: membership.NewRegistrar(d.presence(), layout, membership.DefaultTiming()),
+		daemon:     d,
+		log:        o.Log,
+		observer:   d.observer,
+		clock:      o.Clock,
+		bootClock:  o.BootClock,
+		random:     random,
+		layout:     layout,
+		self:       d.settings.Host,
+		service:    d.settings.Service,
+		replica:    membership.NewReplica(),
+		roster:     membership.NewRoster(time.Duration(missedAnnouncements * float64(minAnnounceInterval))),
+		table:      table,
+		relay:      relay,
+		budget:     budget,
+		runner:     d.runner,
+		inbox:      make(chan func(ownership.Instant), inboxCapacity),
+		registered: make(chan struct{}),
+		registrar:  membership.NewRegistrar(d.presence(), layout, membership.DefaultTiming()),
 		machine: ownership.NewStateMachine(o.BootClock.Now(), d.settings.Host, d.settings.Service, layout,
 			d.ownershipTiming(), random),
 		records:           map[class.Service]*ownership.Record{},
@@ -182,11 +189,6 @@
 func (c *control) runRegistrarEffects(now ownership.Instant, effects []membership.Effect) {
 	for _, e := range effects {
 		switch effect := e.(type) {
-		case membership.ReadEpoch:
-			c.async(func(ctx context.Context) func(ownership.Instant) {
-				item, err := c.store.Get(ctx, effect.Key)
-				return func(now ownership.Instant) { c.runRegistrarEffects(now, c.registrar.EpochRead(now, item, err)) }
-			})
 		case membership.GrantLease:
 			c.async(func(ctx context.Context) func(ownership.Instant) {
 				lease, err := c.store.Grant(ctx, membership.DefaultTiming().LeaseTTL)
@@ -220,6 +222,7 @@
 // handleRegistered applies a new registration and announces it to other daemons.
 func (c *control) handleRegistered(now ownership.Instant, registered membership.Registered) {
 	c.epoch = registered.Epoch
+	c.registeredOnce.Do(func() { close(c.registered) })
 	c.log.Info("registered", "epoch", registered.Epoch, "revision", registered.Revision)
 	c.gossip.announcementCount = 0
 	c.publishPresence(now, registered)
@@ -232,7 +235,8 @@
 	for _, e := range effects {
 		switch effect := e.(type) {
 		case ownership.ReadRecord:
-			c.readRecord()
+			c.isRecordReadDue = true
+			c.readRecordIfDue()
 		case ownership.WriteRecord:
 			c.writeRecord(effect)
 		case ownership.EndLease:
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -289,6 +290,56 @@
 		"no update is in transit")
 }
 
+// TestOnlyTheFirstHostsOfALargeDomainWatch checks a mesh of hundreds of hosts, in which announcements are several
+// seconds apart: only the first host of the failure domain watches the store, from the start on, and another one takes
+// over when it falls silent.
+func TestOnlyTheFirstHostsOfALargeDomainWatch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := ownership.Instant(time.Minute)
+	var controls []*control
+	hosts := map[ownership.HostID]*control{}
+	const domains, hostsPerDomain = 5, 60
+	for i := range hostsPerDomain {
+		s := testSettings()
+		s.Host, s.FailureDomain = ownership.HostID(fmt.Sprint("h0-", i)), "d0"
+		c := New(s, Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewFakeClock()}).control
+		c.gossip = newGossipState(now)
+		controls, hosts[s.Host] = append(controls, c), c
+		for j := range domains * hostsPerDomain {
+			host := ownership.HostID(fmt.Sprint("h", j%domains, "-", j/domains))
+			domain := ownership.FailureDomain(fmt.Sprint("d", j%domains))
+			c.roster.Register(membership.Presence{Host: host, Domain: domain, HopAddress: string(host)}, membership.Version(j+1))
+		}
+		c.gossip.announceInterval = domains * hostsPerDomain * announceIntervalPerHost
+	}
+	watchers := func(now ownership.Instant) (found []ownership.HostID) {
+		for _, c := range controls {
+			c.gossip.receivedAt = now
+			if c.isWatcher(now) {
+				found = append(found, c.self)
+			}
+		}
+		return found
+	}
+	first := watchers(now)
+	g.Expect(first).To(gomega.HaveLen(watchersPerDomain), "at the start, before any announcement")
+	announce := func(sequence uint32, at ownership.Instant, except ownership.HostID) {
+		for _, c := range controls {
+			for host := range hosts {
+				if host != except {
+					c.roster.ApplyAnnouncement(at, membership.Announcement{Host: host, Epoch: 1, Sequence: sequence})
+				}
+			}
+		}
+	}
+	announce(1, now, "")
+	interval := controls[0].gossip.announceInterval
+	g.Expect(watchers(now.Add(interval))).To(gomega.Equal(first), "just before the next announcements")
+	announce(2, now.Add(interval), first[0])
+	others := slices.DeleteFunc(watchers(now.Add(2*interval)), func(h ownership.HostID) bool { return h == first[0] })
+	g.Expect(others).To(gomega.HaveLen(watchersPerDomain), "another one takes over from a silent watcher")
+}
+
 // TestHostsThatTheStoreTurnsAwayDoNotWatchForOthers checks that another daemon becomes the watcher of a failure domain
 // whose first watcher cannot reach the store.
 func TestHostsThatTheStoreTurnsAwayDoNotWatchForOthers(t *testing.T) {
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -52,6 +52,10 @@
 	nextGossipAt   ownership.Instant
 	nextDigestAt   ownership.Instant
 	nextAnnounceAt ownership.Instant
+	// announceInterval is the current interval of the announcements of all hosts.
+	announceInterval time.Duration
+	// startedAt is when this daemon started.
+	startedAt ownership.Instant
 	// mismatches counts the differing digests in a row.
 	mismatches int
 	// announcementCount numbers the announcements of one epoch.
@@ -61,7 +65,7 @@
 }
 
 func newGossipState(now ownership.Instant) gossipState {
-	return gossipState{receivedAt: now, pending: map[ownership.HostID]membership.Announcement{}}
+	return gossipState{startedAt: now, receivedAt: now, announceInterval: minAnnounceInterval, pending: map[ownership.HostID]membership.Announcement{}}
 }
 
 // applyEntry applies a store value if it is newer than the known one and can be decoded, and reports whether it did.
@@ -156,6 +160,7 @@
 	c.daemon.callerHandler.SetConfig(config)
 	c.daemon.callerServer.setLimits(config.Limits)
 	c.observer.configApplied(config.Version, uint64(version))
+	c.readRecordIfDue()
 }
 
 func (c *control) applyRecord(now ownership.Instant, record *ownership.Record, revision store.Revision) {
@@ -263,6 +268,7 @@
 	hosts := len(c.roster.Hosts())
 	interval := max(minAnnounceInterval, time.Duration(hosts)*announceIntervalPerHost)
 	c.roster.SetAnnouncementTTL(time.Duration(missedAnnouncements * float64(interval)))
+	c.gossip.announceInterval = interval
 	c.gossip.nextAnnounceAt = now.Add(interval)
 	if c.epoch == 0 {
 		return
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -9,6 +9,15 @@
 	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
+// readRecordIfDue starts the read of the record that the ownership machine has requested, once it is known that the
+// service has keys.
+func (c *control) readRecordIfDue() {
+	if c.isRecordReadDue && c.isKeyed() {
+		c.isRecordReadDue = false
+		c.readRecord()
+	}
+}
+
 // readRecord reads the ownership record of this host's service from the store.
 func (c *control) readRecord() {
 	epoch := c.epoch
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -22,19 +22,39 @@
 	// watchBatchDelay is the pause before the next watch call. Every call has a cost, so changes accumulate during the
 	// pause. Gossip delivers records and presences sooner; a configuration may take up to 2 s.
 	watchBatchDelay = 300 * time.Millisecond
+	// maxRegistrationWait bounds how long the first read waits for the registration of this host.
+	maxRegistrationWait = 1500 * time.Millisecond
+	// watcherCheckInterval is how often a daemon that does not watch checks whether it has become a watcher.
+	watcherCheckInterval = 500 * time.Millisecond
 	// minStoreRetryDelay and maxStoreRetryDelay bound the delay after a failed watch or read.
 	minStoreRetryDelay = 150 * time.Millisecond
 	maxStoreRetryDelay = time.Second
 )
 
-// runStore reads the store, and watches it while this daemon is one of the watchers. It runs on its own goroutine.
+// runStore reads the other hosts and the configuration, and watches the store while this daemon is one of the watchers.
+// It runs on its own goroutine. The hosts are read after this host has registered: of two hosts that start at the same
+// time, at least one then knows the other.
 func (c *control) runStore(ctx context.Context) error {
+	select {
+	case <-c.registered:
+	case <-c.clock.After(maxRegistrationWait):
+	case <-ctx.Done():
+	}
 	delay := minStoreRetryDelay
+	isStarted := false
 	for ctx.Err() == nil {
-		revision, err := c.readAll(ctx)
+		var err error
+		switch {
+		case !isStarted:
+			_, err = c.read(ctx, c.layout.Presence(""))
+			isStarted = err == nil
+		case !c.shouldWatch(ctx):
+			c.sleep(ctx, watcherCheckInterval)
+		default:
+			err = c.readAndWatch(ctx)
+		}
 		if err == nil {
 			delay = minStoreRetryDelay
-			err = c.watch(ctx, revision)
 		}
 		if err != nil && ctx.Err() == nil {
 			c.log.Info("reading or watching the store failed; retrying after a delay", "error", err)
@@ -45,9 +65,18 @@
 	return nil
 }
 
-// readAll reads the configuration and all values of this system.
-func (c *control) readAll(ctx context.Context) (store.Revision, error) {
-	own, err := c.store.List(ctx, c.layout.Prefix)
+// readAndWatch reads all values of this system and watches the store from there.
+func (c *control) readAndWatch(ctx context.Context) error {
+	revision, err := c.read(ctx, c.layout.Prefix)
+	if err != nil {
+		return err
+	}
+	return c.watch(ctx, revision)
+}
+
+// read reads the configuration and the values of this system whose keys have a prefix.
+func (c *control) read(ctx context.Context, prefix string) (store.Revision, error) {
+	own, err := c.store.List(ctx, prefix)
 	if err != nil {
 		return 0, err
 	}
@@ -57,7 +86,7 @@
 	}
 	c.post(ctx, func(now ownership.Instant) {
 		c.applyItems(now, append(own.Items, config))
-		c.markDeleted(now, own)
+		c.markDeleted(now, prefix, own)
 		c.updateDataPlane(now)
 	})
 	return own.Revision, nil
@@ -76,13 +105,13 @@
 	c.applyStoreEntries(now, entries...)
 }
 
-// markDeleted marks the known values that a complete read did not find as deleted.
-func (c *control) markDeleted(now ownership.Instant, read store.Snapshot) {
+// markDeleted marks the known values that a complete read of a prefix did not find as deleted.
+func (c *control) markDeleted(now ownership.Instant, prefix string, read store.Snapshot) {
 	found := map[string]bool{}
 	for _, item := range read.Items {
 		found[item.Key] = true
 	}
-	for _, e := range c.replica.List(c.layout.Prefix) {
+	for _, e := range c.replica.List(prefix) {
 		isOlder := e.Version < membership.Version(read.Revision)
 		if !found[e.Key] && isOlder {
 			c.applyStoreEntries(now, membership.Entry{
@@ -94,16 +123,12 @@
 	}
 }
 
-// watch applies the changes of the store while this daemon is a watcher. It returns nil when the store has to be read
-// again, and an error when a call failed.
+// watch applies the changes of the store while this daemon is a watcher. It returns nil when this daemon is no watcher
+// any more or the store has to be read again, and an error when a call failed.
 func (c *control) watch(ctx context.Context, revision store.Revision) error {
 	for ctx.Err() == nil {
 		if !c.shouldWatch(ctx) {
-			c.sleep(ctx, maxStoreRetryDelay)
-			if c.shouldWatch(ctx) {
-				return nil // the store is read again: many changes may have been made since
-			}
-			continue
+			return nil
 		}
 		changes, err := c.store.Watch(ctx, "", revision)
 		var compacted *store.CompactedError
@@ -146,19 +171,14 @@
 }
 
 func (c *control) isWatcher(now ownership.Instant) bool {
-	if now.Sub(c.gossip.receivedAt) > maxGossipSilence || c.config == nil {
+	if now.Sub(c.gossip.receivedAt) > maxGossipSilence {
 		return true
 	}
 	var localHashes []uint64
 	ownHash := xxhash.Sum64String(string(c.self))
-	maxAge := maxGossipSilence
-	if local, _ := c.peersByDomain(); len(local) > smallDomain {
-		maxAge += 2 * gossipInterval // announcements arrive in batches
-	}
 	for _, h := range c.roster.Hosts() {
-		isAlive := h.Host == c.self ||
-			h.IsAnnounced && now.Sub(h.AnnouncedAt) < maxAge && !h.Announcement.IsStoreUnreachable
-		if h.Domain == c.daemon.settings.FailureDomain && isAlive {
+		mayWatch := h.Host == c.self || c.isAlive(now, h) && !h.Announcement.IsStoreUnreachable
+		if h.Domain == c.daemon.settings.FailureDomain && mayWatch {
 			localHashes = append(localHashes, xxhash.Sum64String(string(h.Host)))
 		}
 	}
@@ -166,6 +186,16 @@
 	return slices.Index(localHashes, ownHash) < watchersPerDomain
 }
 
+// isAlive reports whether a host has announced itself within the last one and a half intervals. A registered host
+// counts as alive until the first announcement of it can have arrived.
+func (c *control) isAlive(now ownership.Instant, h *membership.Host) bool {
+	maxAge := max(maxGossipSilence, c.gossip.announceInterval+c.gossip.announceInterval/2+2*gossipInterval)
+	if !h.IsAnnounced {
+		return h.IsRegistered && h.AnnouncedAt == 0 && now.Sub(c.gossip.startedAt) < maxAge
+	}
+	return now.Sub(h.AnnouncedAt) < maxAge
+}
+
 func (c *control) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-c.clock.After(d):
--- a/membership/host.go
+++ b/membership/host.go
@@ -96,7 +96,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		LeaseTTL:      3500 * time.Millisecond,
-		RenewInterval: time.Second,
+		RenewInterval: 1500 * time.Millisecond,
 		RetryDelay:    150 * time.Millisecond,
 	}
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -67,9 +67,6 @@
 	ctx := context.Background()
 	for _, e := range effects {
 		switch effect := e.(type) {
-		case membership.ReadEpoch:
-			item, err := r.store.Get(ctx, effect.Key)
-			r.execute(r.registrar.EpochRead(r.now, item, err))
 		case membership.GrantLease:
 			lease, err := r.store.Grant(ctx, time.Minute)
 			r.execute(r.registrar.LeaseGranted(r.now, lease, err))
--- a/membership/registrar.go
+++ b/membership/registrar.go
@@ -11,9 +11,6 @@
 // Effect is an action that the registrar requests, or a change that it reports.
 type Effect interface{ isEffect() }
 
-// ReadEpoch requests the item of the host's epoch. The result is passed to EpochRead.
-type ReadEpoch struct{ Key string }
-
 // GrantLease requests a lease. The result is passed to LeaseGranted.
 type GrantLease struct{}
 
@@ -44,7 +41,6 @@
 // Unregistered reports that the registration is lost, for example because the lease has ended.
 type Unregistered struct{ Reason string }
 
-func (ReadEpoch) isEffect()    {}
 func (GrantLease) isEffect()   {}
 func (Register) isEffect()     {}
 func (RenewLease) isEffect()   {}
@@ -79,7 +75,8 @@
 	layout   ownership.StoreLayout
 	timing   Timing
 
-	isEpochKnown  bool
+	// epoch and epochRevision are zero until the first attempt to register. If the host has registered before, the
+	// store refuses that attempt and answers with the current epoch, which saves a read of it otherwise.
 	epoch         ownership.Epoch
 	epochRevision store.Revision
 
@@ -107,8 +104,6 @@
 	}
 	r.isCallPending = true
 	switch {
-	case !r.isEpochKnown:
-		return []Effect{ReadEpoch{Key: r.layout.Epoch(r.presence.Host)}}
 	case r.lease == 0:
 		return []Effect{GrantLease{}}
 	case !r.isRegistered:
@@ -146,23 +141,12 @@
 	return nil
 }
 
-// EpochRead processes the result of ReadEpoch.
-func (r *Registrar) EpochRead(now ownership.Instant, item store.Item, err error) []Effect {
-	if err != nil {
-		return r.retryLater(now)
-	}
-	r.isCallPending = false
-	r.applyEpochItem(item)
-	return r.Tick(now)
-}
-
 // applyEpochItem applies the current item of the epoch.
 func (r *Registrar) applyEpochItem(item store.Item) {
 	epoch, _, err := DecodeEpoch(item.Value)
 	if item.Revision == 0 || err != nil {
 		epoch = r.epoch // an item that cannot be decoded is replaced; the write is still conditional on its revision
 	}
-	r.isEpochKnown = true
 	r.epoch = max(r.epoch, epoch)
 	r.epochRevision = item.Revision
 }
--- a/ownership/simulation_effects_test.go
+++ b/ownership/simulation_effects_test.go
@@ -13,11 +13,6 @@
 	ctx := context.Background()
 	for _, e := range effects {
 		switch effect := e.(type) {
-		case membership.ReadEpoch:
-			var item store.Item
-			sim.callStore(h, func() (err error) { item, err = sim.store.Get(ctx, effect.Key); return err }, func(err error) {
-				sim.applyRegistrarEffects(h, h.registrar.EpochRead(sim.bootTime(h), item, err))
-			})
 		case membership.GrantLease:
 			var lease store.LeaseID
 			sim.callStore(h, func() (err error) {
