perf(daemon): start with one read of the hosts; let changes gather before the next watch

Change: a starting daemon reads the hosts only and pulls the rest from one of them; a watcher pauses 0.9 s after changes, since gossip carries records and the configuration from whichever watcher sees it first.

--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -20,8 +20,12 @@
 	// maxGossipSilence is how long a daemon may receive nothing from other daemons before it watches the store itself.
 	maxGossipSilence = 1500 * time.Millisecond
 	// watchBatchDelay is the pause before the next watch call. Every call has a cost, so changes accumulate during the
-	// pause. Gossip delivers records and presences sooner; a configuration may take up to 2 s.
-	watchBatchDelay = 300 * time.Millisecond
+	// pause. Gossip delivers records and presences sooner, and a configuration from the watcher that sees it first; a
+	// configuration may take up to 2 s.
+	watchBatchDelay = 900 * time.Millisecond
+	// configPatience is how long after its start a daemon waits for a configuration from other daemons before it reads
+	// the store, and the pause between such reads.
+	configPatience = 2500 * time.Millisecond
 	// maxRegistrationWait bounds how long the first read waits for the registration of this host.
 	maxRegistrationWait = 1500 * time.Millisecond
 	// watcherCheckInterval is how often a daemon that does not watch checks whether it has become a watcher.
@@ -46,12 +50,15 @@
 		var err error
 		switch {
 		case !isStarted:
-			_, err = c.read(ctx, c.layout.Presence(""))
+			err = c.readHosts(ctx)
 			isStarted = err == nil
-		case !c.shouldWatch(ctx):
-			c.sleep(ctx, watcherCheckInterval)
-		default:
+		case c.shouldWatch(ctx):
 			err = c.readAndWatch(ctx)
+		case c.isConfigOverdue(ctx):
+			err = c.readConfig(ctx)
+			c.sleep(ctx, configPatience)
+		default:
+			c.sleep(ctx, watcherCheckInterval)
 		}
 		if err == nil {
 			delay = minStoreRetryDelay
@@ -65,31 +72,64 @@
 	return nil
 }
 
-// readAndWatch reads all values of this system and watches the store from there.
+// readHosts reads the hosts that are registered, and pulls the configuration and the records from one of them.
+func (c *control) readHosts(ctx context.Context) error {
+	if _, err := c.readValues(ctx, c.layout.Presence("")); err != nil {
+		return err
+	}
+	c.post(ctx, func(ownership.Instant) {
+		if address := c.chooseDigestPeer(); address != "" {
+			c.pullNewer(address)
+		}
+	})
+	return nil
+}
+
+// readAndWatch reads the configuration and all values of this system, and watches the store from there.
 func (c *control) readAndWatch(ctx context.Context) error {
-	revision, err := c.read(ctx, c.layout.Prefix)
+	revision, err := c.readValues(ctx, c.layout.Prefix)
 	if err != nil {
 		return err
 	}
+	if err := c.readConfig(ctx); err != nil {
+		return err
+	}
 	return c.watch(ctx, revision)
 }
 
-// read reads the configuration and the values of this system whose keys have a prefix.
-func (c *control) read(ctx context.Context, prefix string) (store.Revision, error) {
+// readValues reads the values of this system whose keys have a prefix.
+func (c *control) readValues(ctx context.Context, prefix string) (store.Revision, error) {
 	own, err := c.store.List(ctx, prefix)
 	if err != nil {
 		return 0, err
 	}
+	c.post(ctx, func(now ownership.Instant) {
+		c.applyItems(now, own.Items)
+		c.markDeleted(now, prefix, own)
+		c.updateDataPlane(now)
+	})
+	return own.Revision, nil
+}
+
+// readConfig reads the configuration.
+func (c *control) readConfig(ctx context.Context) error {
 	config, err := c.store.Get(ctx, platform.ConfigKey)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	c.post(ctx, func(now ownership.Instant) {
-		c.applyItems(now, append(own.Items, config))
-		c.markDeleted(now, prefix, own)
+		c.applyItems(now, []store.Item{config})
 		c.updateDataPlane(now)
 	})
-	return own.Revision, nil
+	return nil
+}
+
+// isConfigOverdue reports whether this daemon has been without a configuration for longer than other daemons need to
+// send it.
+func (c *control) isConfigOverdue(ctx context.Context) bool {
+	return c.ask(ctx, func(now ownership.Instant) bool {
+		return c.config == nil && now.Sub(c.gossip.startedAt) > configPatience
+	})
 }
 
 func (c *control) applyItems(now ownership.Instant, items []store.Item) {
@@ -159,12 +199,15 @@
 
 // shouldWatch reports whether this daemon watches the store: it is one of the first of its failure domain in the order
 // of their hashed names, or receives nothing from other daemons.
-func (c *control) shouldWatch(ctx context.Context) bool {
+func (c *control) shouldWatch(ctx context.Context) bool { return c.ask(ctx, c.isWatcher) }
+
+// ask returns the answer of the control goroutine to a question, or false when the context ends.
+func (c *control) ask(ctx context.Context, question func(now ownership.Instant) bool) bool {
 	result := make(chan bool, 1)
-	c.post(ctx, func(now ownership.Instant) { result <- c.isWatcher(now) })
+	c.post(ctx, func(now ownership.Instant) { result <- question(now) })
 	select {
-	case isWatcher := <-result:
-		return isWatcher
+	case answer := <-result:
+		return answer
 	case <-ctx.Done():
 		return false
 	}
