--- a/placement/placement.go
+++ b/placement/placement.go
@@ -149,9 +149,9 @@
 	minKeyShare = 0.5
 	// loadMargin is how far, as a fraction of the mean, a server's load must exceed the mean before keys are moved off
 	// it.
-	loadMargin = 0.2
+	loadMargin = 0.3
 	// minLoadShare is the fraction of a server's concurrency below which its load is no reason to move keys.
-	minLoadShare = 0.45
+	minLoadShare = 0.6
 	// maxGapShare is the largest fraction of the load difference between two servers that a single span may carry. Half
 	// of the difference would make them equal; a heavier span still narrows it.
 	maxGapShare = 0.75
