perf(caller): a call for a key on its way waits where the key arrives

Change: the daemon beside the assigned server holds the call until the key is granted or assigned elsewhere, or 0.3 of its time has passed; a host that has refused a call twice is not tried again before the key is assigned anew. Also: the read deadline of a body that came too late stays until the response is sent, since the server otherwise waits for the rest of the body (TestSlowBodyEndsAtTheTimeout hung once in five runs).

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -184,6 +184,50 @@
 	}
 }
 
+// TestCallsWaitForAssignedKeys covers calls for keys that are on their way to this host. A call waits for the grant if the
+// key is assigned to this host, and is refused at once when the key is not or no longer assigned to it.
+func TestCallsWaitForAssignedKeys(t *testing.T) {
+	withoutKeys := func(p *backend.Permit) { p.Keys.Clear() }
+	for name, c := range map[string]struct {
+		isAssigned, isGranted, isReassigned bool
+		want                                class.Outcome
+	}{
+		"assigned, then granted":    {isAssigned: true, isGranted: true, want: class.Answered},
+		"assigned, then reassigned": {isAssigned: true, isReassigned: true, want: class.NotRun},
+		"not assigned":              {want: class.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(headerNames.RequestID, "id-1")
+				w.Header().Set(headerNames.Signature, "s")
+			})
+			r, _ := newRunner(address, withoutKeys)
+			changed, checks := make(chan struct{}), make(chan bool, 2)
+			checks <- c.isAssigned
+			checks <- false
+			r.WaitForKeys(func(class.Key) (bool, <-chan struct{}) { return <-checks, changed })
+			results := make(chan call.Result, 1)
+			go func() { results <- r.Run(context.Background(), newCall(time.Minute)) }()
+			if c.isAssigned {
+				g.Consistently(results, "50ms").ShouldNot(gomega.Receive(), "the call waits")
+			}
+			if c.isGranted {
+				clock := clockwork.NewRealClock()
+				p := backend.Permit{IsUsable: true, Instance: "i-1", IsKeyed: true, KeysValidUntil: clock.Now().Add(time.Minute)}
+				p.Keys.Set(keyspace.Span{From: 0, To: 9}, true)
+				r.SetPermit(p, backend.NewClient(address, 2, headerNames, func() {}, clock))
+			}
+			if c.isReassigned {
+				close(changed)
+			}
+			var result call.Result
+			g.Eventually(results).Should(gomega.Receive(&result))
+			g.Expect(result.Outcome).To(gomega.Equal(c.want))
+		})
+	}
+}
+
 // TestUnreachableServerIsReported covers a crash of the server: the first call that cannot connect reports it, so that
 // the daemon probes the address at once.
 func TestUnreachableServerIsReported(t *testing.T) {
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -60,6 +60,8 @@
 	isRejecting atomic.Bool
 	// onUnreachable is called when a call could not connect to the server's address. It must not block.
 	onUnreachable func()
+	// isAssigned is nil if calls never wait for their key.
+	isAssigned AssignmentCheck
 
 	mu sync.Mutex
 	// runTimes and totalRunTime hold the run time of calls, by key and in total, since TakeRunTimes last reset them.
@@ -67,6 +69,14 @@
 	totalRunTime time.Duration
 }
 
+// AssignmentCheck reports whether the ownership record assigns a key of this host's service to this host, and returns a
+// channel that is closed when the answer may have changed.
+type AssignmentCheck func(key class.Key) (isAssigned bool, changed <-chan struct{})
+
+// WaitForKeys makes calls for keys that are assigned to this host wait until the server holds them, because a key on its
+// way arrives with one of the next heartbeats. It must be called before the first call.
+func (r *Runner) WaitForKeys(isAssigned AssignmentCheck) { r.isAssigned = isAssigned }
+
 // NewRunner returns a runner without a permit, which rejects all calls. It calls onUnreachable, which must not block,
 // when a call could not connect to the server's address.
 func NewRunner(controller *admission.Controller, onUnreachable func(), clock clockwork.Clock) *Runner {
@@ -126,9 +136,17 @@
 
 // admit queues the call until it may run, or rejects it, and then dispatches it.
 func (r *Runner) admit(ctx context.Context, c call.Call) call.Result {
+	now := r.clock.Now()
+	keyDeadline := now.Add(time.Duration(keyWaitShare * float64(c.Deadline.Sub(now))))
 	for {
 		permit := r.current.Load()
-		if r.IsRejecting() || !permit.allows(r.clock.Now(), c) || permit.client == nil {
+		if r.IsRejecting() || permit.client == nil || !permit.IsUsable {
+			return call.NotRun(call.NotOwner)
+		}
+		if !permit.allows(r.clock.Now(), c) {
+			if r.waitForKey(ctx, permit, c, keyDeadline) {
+				continue
+			}
 			return call.NotRun(call.NotOwner)
 		}
 		ticket, err := r.controller.Acquire(ctx, c.Class, c.Deadline, permit.replaced)
@@ -142,6 +160,34 @@
 	}
 }
 
+// keyWaitShare is the share of its remaining time that a call waits for the server to hold its key.
+const keyWaitShare = 0.3
+
+// waitForKey waits for a change of the permit or of the assignment of the call's key. It returns false if the key is not
+// assigned to this host, or if the call has waited until its limit.
+func (r *Runner) waitForKey(ctx context.Context, permit *activePermit, c call.Call, limit time.Time) bool {
+	if r.isAssigned == nil {
+		return false
+	}
+	isAssigned, changed := r.isAssigned(c.Key)
+	remaining := limit.Sub(r.clock.Now())
+	if !isAssigned || remaining <= 0 {
+		return false
+	}
+	timer := r.clock.NewTimer(remaining)
+	defer timer.Stop()
+	select {
+	case <-permit.replaced:
+		return true
+	case <-changed:
+		return true
+	case <-timer.Chan():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // rejectionResult converts a rejection by admission control to a result. It returns false if the permit was replaced
 // while the call was queued, in which case the call is queued again under the new permit.
 func rejectionResult(ctx context.Context, err error) (call.Result, bool) {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -110,6 +110,19 @@
 	}
 }
 
+// TestKeyOnItsWayIsOfferedTwiceAtMost covers a key whose owner does not hold it during the whole wait. The owner is
+// tried again once, because it may have learned of its assignment later, and not again under the same fence.
+func TestKeyOnItsWayIsOfferedTwiceAtMost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &scriptedSender{}
+	for range 100 {
+		s.results = append(s.results, call.NotRun(call.NotOwner))
+	}
+	w := serve(s, withPath("/k/1"))
+	g.Expect(w.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(s.hosts).To(gomega.HaveLen(2))
+}
+
 // TestSlowBodyEndsAtTheTimeout covers a caller that sends the body of its request as a trickle. The call ends at the
 // timeout of its class, and nothing of it has run.
 func TestSlowBodyEndsAtTheTimeout(t *testing.T) {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -175,13 +175,11 @@
 	if r.ContentLength == 0 {
 		return nil, call.None
 	}
+	connection := http.NewResponseController(w)
 	if timeout > 0 {
-		// Connections measure deadlines by the operating system's clock, not by the injected one. Recorders of tests
-		// have no deadlines, and then the read is not limited.
-		connection := http.NewResponseController(w)
-		if err := connection.SetReadDeadline(time.Now().Add(timeout)); err == nil {
-			defer func() { _ = connection.SetReadDeadline(time.Time{}) }() // fails only if the connection is closed
-		}
+		// Connections measure deadlines by the operating system's clock, not by the injected one. It fails only in tests
+		// that have no connection.
+		_ = connection.SetReadDeadline(time.Now().Add(timeout))
 	}
 	reader := r.Body
 	if maxBytes > 0 {
@@ -191,12 +189,15 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = connection.SetReadDeadline(time.Time{}) // as above
 		return body, call.None
 	case errors.As(err, &tooLarge):
 		return nil, call.TooLarge
 	case errors.Is(err, context.Canceled):
 		return nil, call.CallerGone
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The deadline stays, so that the server does not wait for the rest of the body before it responds.
+		w.Header().Set("Connection", "close")
 		return nil, call.Late
 	default:
 		return nil, call.BadRequest
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -77,8 +77,14 @@
 	// sentAttempts is the number of attempts that may have reached a backend server.
 	sentAttempts int
 	// waitUntil is the time until which the call may wait for a usable owner of its key.
-	waitUntil  time.Time
-	lastResult call.Result
+	waitUntil time.Time
+	// refusedBy is the host that last did not hold the key, refusedFence the fence of the key's assignment then, and
+	// refusals the number of attempts that it refused under this fence. It is not tried again before the key is assigned
+	// anew, except once, since it may have learned of its assignment later than this daemon.
+	refusedBy    ownership.HostID
+	refusedFence ownership.Fence
+	refusals     int
+	lastResult   call.Result
 	// mayHaveRun reports whether the outcome of any attempt was unknown.
 	mayHaveRun bool
 }
@@ -97,7 +103,7 @@
 		route, changed := r.table.Lookup(c.Service)
 		target := r.selectServer(route, state)
 		if target == nil {
-			if !r.canWaitForOwner(route, state) || !r.waitForRoutes(ctx, state, changed) {
+			if !r.canWaitForOwner(route, state) || !r.waitForRoutes(ctx, state, changed, untilChanged) {
 				return r.finalResult(ctx, state)
 			}
 			continue
@@ -106,11 +112,14 @@
 			return r.finalResult(ctx, state)
 		}
 		r.attempt(ctx, target, state)
+		if state.call.HasKey && state.lastResult.Reason == call.NotOwner {
+			state.recordRefusal(target.Host, route.fence(state.call.Key))
+		}
 		switch r.chooseAction(state) {
 		case finishCall:
 			return r.finalResult(ctx, state)
 		case retryAfterRouteChange:
-			if !r.waitForRoutes(ctx, state, changed) {
+			if !r.waitForRoutes(ctx, state, changed, routeWaitInterval) {
 				return r.finalResult(ctx, state)
 			}
 		case retryNow:
@@ -124,11 +133,31 @@
 		return nil
 	}
 	if route.IsKeyed && state.call.HasKey {
-		return route.owner(state.call.Key)
+		owner := route.owner(state.call.Key)
+		if owner != nil && state.isRefused(owner.Host, route.fence(state.call.Key)) {
+			return nil
+		}
+		return owner
 	}
 	return r.balancer.pick(route, state.triedHosts)
 }
 
+// maxRefusals is how often a host may refuse a call for a key under one fence before it is not tried again.
+const maxRefusals = 2
+
+// isRefused reports whether a host has refused the call too often under the given fence.
+func (s *callState) isRefused(host ownership.HostID, fence ownership.Fence) bool {
+	return s.refusedBy == host && s.refusedFence == fence && s.refusals >= maxRefusals
+}
+
+// recordRefusal records that a host did not hold the call's key under the given fence.
+func (s *callState) recordRefusal(host ownership.HostID, fence ownership.Fence) {
+	if s.refusedBy != host || s.refusedFence != fence {
+		s.refusedBy, s.refusedFence, s.refusals = host, fence, 0
+	}
+	s.refusals++
+}
+
 // canWaitForOwner reports whether it is useful to wait for a server. Only the owner of a key is likely to change before
 // the call's deadline.
 func (r *Relay) canWaitForOwner(route *ServiceRoute, state *callState) bool {
@@ -228,14 +257,19 @@
 	return state.call.Deadline.Sub(r.clock.Now()) > reserve
 }
 
-// waitForRoutes waits for a change of routes, for routeWaitInterval at most. It returns false if the context ended or
-// the call may not wait any longer.
-func (r *Relay) waitForRoutes(ctx context.Context, state *callState, changed <-chan struct{}) bool {
+// untilChanged is a wait that only a change of routes ends early.
+const untilChanged = time.Hour
+
+// waitForRoutes waits for a change of routes, for maxWait at most. It returns false if the context ended or the call may
+// not wait any longer.
+func (r *Relay) waitForRoutes(
+	ctx context.Context, state *callState, changed <-chan struct{}, maxWait time.Duration,
+) bool {
 	remaining := state.waitUntil.Sub(r.clock.Now())
 	if remaining <= 0 {
 		return false
 	}
-	timer := r.clock.NewTimer(min(remaining, routeWaitInterval))
+	timer := r.clock.NewTimer(min(remaining, maxWait))
 	defer timer.Stop()
 	select {
 	case <-changed:
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -58,6 +58,14 @@
 	return s
 }
 
+// fence returns the fence under which the record assigns a key. It rises when the key is assigned anew.
+func (r *ServiceRoute) fence(key class.Key) ownership.Fence {
+	if r.Record == nil {
+		return 0
+	}
+	return r.Record.Keys.At(key).Fence
+}
+
 // Routes maps each service to its route.
 type Routes map[class.Service]*ServiceRoute
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/caller"
+	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/peer"
@@ -75,6 +76,10 @@
 	d.runner = backend.NewRunner(admissionController, func() { d.control.probeServerSoon() }, o.Clock)
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock)
 	table := caller.NewTable()
+	d.runner.WaitForKeys(func(key class.Key) (bool, <-chan struct{}) {
+		route, changed := table.Lookup(s.Service)
+		return route != nil && route.Record != nil && route.Record.Owner(key) == s.Host, changed
+	})
 	budget := caller.NewBudget(caller.BudgetLimits{
 		Ratio:   s.Retries.Ratio,
 		Slack:   s.Retries.Slack,
