--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -13,7 +13,11 @@
 )
 
 func (d *Daemon) addOperator(_ context.Context, group *run.Group) error {
-	handler := operator.Handler(d, func(err error) { d.observer.inputRejected("operator", err) })
+	newHandler := operator.Handler
+	if d.settings.Profile.Enabled {
+		newHandler = operator.HandlerWithProfiles
+	}
+	handler := newHandler(d, func(err error) { d.observer.inputRejected("operator", err) })
 	return d.serve(group, "operator", d.settings.OperatorAddress(), handler)
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"strings"
 	"time"
@@ -57,8 +58,9 @@
 	Metrics() metrics.Registry
 }
 
-// Paths of the HTTP interface.
+// Paths of the HTTP interface. The profiles are those of net/http/pprof.
 const (
+	profilesPath = "/debug/pprof/"
 	statusPath   = "/status"
 	timelinePath = "/timeline"
 	metricsPath  = "/metrics"
@@ -91,6 +93,15 @@
 	return mux
 }
 
+// HandlerWithProfiles returns the handler of the HTTP interface with the profiles of the process.
+func HandlerWithProfiles(d Daemon, report func(error)) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", Handler(d, report))
+	mux.HandleFunc("GET "+profilesPath, pprof.Index)
+	mux.HandleFunc("GET "+profilesPath+"profile", pprof.Profile)
+	return mux
+}
+
 func writeJSON(w http.ResponseWriter, value any, report func(error)) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(value); err != nil {
--- a/settings/document.go
+++ b/settings/document.go
@@ -167,6 +167,9 @@
 	return value
 }
 
+// boolean reads an optional truth value, which is false if it is missing.
+func (d *document) boolean(name string) bool { return field(d, name, "true or false", new(bool)) }
+
 // choice reads a string that is one of several choices.
 func (d *document) choice(name, fallback string, choices ...string) string {
 	value := field(d, name, "a text", &fallback)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,7 @@
 	Limits   Limits
 	Log      Log
 	Timeline Timeline
+	Profile  Profile
 }
 
 // Platform is the address of the platform's store, and the timeout of calls to it.
@@ -87,6 +88,9 @@
 	LinesPerSecond int
 }
 
+// Profile configures the profiles of the process on the operator address.
+type Profile struct{ Enabled bool }
+
 // Timeline configures how many events a daemon keeps.
 type Timeline struct{ Events int }
 
@@ -195,6 +199,7 @@
 			LinesPerSecond: int(d.integer("log.lines_per_second", ptr[int64](defaultLogLinesPerSecond), 0, 1<<20)),
 		},
 		Timeline: Timeline{Events: int(d.integer("timeline.events", ptr[int64](defaultTimelineEvents), 1, 1<<20))},
+		Profile:  Profile{Enabled: d.boolean("profile.enabled")},
 	}
 	s.Advertise = d.ip("advertise", &s.Address)
 	s.checkConsistency(d)
