--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -325,7 +325,7 @@
 	}
 	if now >= c.gossip.nextDigestAt {
 		c.gossip.nextDigestAt = now.Add(digestInterval)
-		if peerAddress := c.chooseDigestPeer(); peerAddress != "" {
+		if peerAddress := c.choosePeer(); peerAddress != "" {
 			c.notifier.SendDigest(peerAddress, c.replica.Digest(), c.replica.Get(platform.ConfigKey).Version)
 		}
 	}
@@ -348,9 +348,9 @@
 	c.pushLocalFanout(gossipFanout, peer.Update{Announcements: announcements})
 }
 
-// chooseDigestPeer returns the address of the daemon that the next digest is sent to, or an empty string if none is
-// known.
-func (c *control) chooseDigestPeer() string {
+// choosePeer returns the address of a random daemon to exchange state with, preferably one of this failure domain, or an
+// empty string if none is known.
+func (c *control) choosePeer() string {
 	local, remote := c.peersByDomain()
 	if len(local) > 0 && (len(remote) == 0 || c.random.Float64() < localDigestRatio) {
 		return local[c.random.IntN(len(local))]
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	c.post(ctx, func(ownership.Instant) {
-		if address := c.chooseDigestPeer(); address != "" {
+		if address := c.choosePeer(); address != "" {
 			c.pullNewer(address)
 		}
 	})
