--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -24,8 +24,8 @@
 	gossipIntervalShare = 0.25
 	// gossipRounds is how many batches an announcement takes to reach all daemons of a failure domain.
 	gossipRounds = 4
-	// gossipFanout is how many daemons each batch is sent to. Epidemic forwarding with this fan-out reaches 94% of the
-	// daemons, and a host counts as silent only after several missed announcements.
+	// gossipFanout is how many daemons each batch is sent to. Epidemic forwarding with this fan-out misses some
+	// daemons, but a host counts as silent only after several missed announcements.
 	gossipFanout = 3
 	// digestInterval is how often a daemon sends its digest to a random peer for anti-entropy.
 	digestInterval = 700 * time.Millisecond
