fix(caller): offer a rejected call to two servers at most

Cause: a call without a key that admission control rejected was offered to all other servers, one after the other. Change: two servers, the least loaded of the known ones first; the refusal carries the shorter of their Retry-After. TestOverloadedServiceIsOfferedACallTwiceAtMost failed before with 16 offers.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -203,6 +203,30 @@
 	g.Expect(w.Header().Get("Retry-After")).To(gomega.Equal("0.045"))
 }
 
+// TestOverloadedServiceIsOfferedACallTwiceAtMost guards against rejected calls taking the processor time of the daemons
+// from the calls that are served.
+func TestOverloadedServiceIsOfferedACallTwiceAtMost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewRealClock()
+	var servers []caller.Server
+	s := &scriptedSender{}
+	for i := range 16 {
+		servers = append(servers, caller.Server{Host: ownership.HostID(rune('a' + i)), IsUsable: true, Concurrency: 2})
+		rejected := call.NotRun(call.Overload)
+		rejected.RetryAfter = time.Duration(50-i) * time.Millisecond
+		s.results = append(s.results, rejected)
+	}
+	table := caller.NewTable()
+	table.Set(caller.Routes{"free": caller.NewServiceRoute(false, servers, nil)})
+	budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
+	relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
+	result := relay.Do(context.Background(),
+		call.Call{Service: "free", Class: &classes[0], Deadline: clock.Now().Add(time.Second)})
+	g.Expect(result.Outcome).To(gomega.Equal(class.NotRun))
+	g.Expect(s.hosts).To(gomega.HaveLen(2))
+	g.Expect(result.RetryAfter).To(gomega.Equal(49*time.Millisecond), "the sooner of the two")
+}
+
 // TestKeyWithoutUsableOwner checks that a call for a key without a usable owner is rejected well before its deadline,
 // so that the caller has time to retry.
 func TestKeyWithoutUsableOwner(t *testing.T) {
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -84,7 +84,11 @@
 	refusedBy    ownership.HostID
 	refusedFence ownership.Fence
 	refusals     int
-	lastResult   call.Result
+	// rejections is the number of servers whose admission control rejected the call, and retryAfter the shortest of the
+	// times after which they expect capacity.
+	rejections int
+	retryAfter time.Duration
+	lastResult call.Result
 	// mayHaveRun reports whether the outcome of any attempt was unknown.
 	mayHaveRun bool
 }
@@ -158,6 +162,24 @@
 	s.refusals++
 }
 
+// maxRejections is the number of servers that a call is offered to if their admission control rejects it. The least loaded
+// of the servers are asked first, so two rejections show that the service is overloaded. Each further offer would take
+// processor time from both daemons that the calls in progress need.
+const maxRejections = 2
+
+// isRejection reports whether the admission control of a server rejected the call.
+func isRejection(result call.Result) bool {
+	return result.Outcome == class.NotRun && (result.Reason == call.Overload || result.Reason == call.Late)
+}
+
+// recordRejection records a rejection by the admission control of a server.
+func (s *callState) recordRejection(retryAfter time.Duration) {
+	if s.rejections == 0 || retryAfter < s.retryAfter {
+		s.retryAfter = retryAfter
+	}
+	s.rejections++
+}
+
 // canWaitForOwner reports whether it is useful to wait for a server. Only the owner of a key is likely to change before
 // the call's deadline.
 func (r *Relay) canWaitForOwner(route *ServiceRoute, state *callState) bool {
@@ -178,6 +200,9 @@
 		state.sentAttempts++
 	}
 	state.mayHaveRun = state.mayHaveRun || result.Outcome == class.Unknown
+	if isRejection(result) {
+		state.recordRejection(result.RetryAfter)
+	}
 	if result.Outcome != class.Answered {
 		r.onUnanswered(Attempt{Call: state.call, Host: target.Host, Result: result, Duration: r.clock.Since(start)})
 	}
@@ -242,7 +267,7 @@
 		}
 		return finishCall
 	case call.Overload, call.Late:
-		if !state.call.HasKey && r.hasTimeToRetry(state) {
+		if !state.call.HasKey && state.rejections < maxRejections && r.hasTimeToRetry(state) {
 			return retryNow
 		}
 		return finishCall
@@ -290,6 +315,9 @@
 	if state.mayHaveRun {
 		return call.Unknown(call.AnswerLost)
 	}
+	if isRejection(result) {
+		result.RetryAfter = state.retryAfter
+	}
 	if ctx.Err() != nil {
 		result.Reason = call.EndReason(ctx)
 	}
