fix(daemon): answer a digest that has an older configuration with the newer one

What the code shows: a daemon that the epidemic left out is repaired only by digests that it happens to receive from a daemon with the newer version, at 1.4 a second; its own digests are not answered, and its single pull may wait 0.8 s for a host that does not respond. Change: the receiver of a digest with an older configuration sends its own. TestDigestWithAnOlderConfigurationIsAnswered failed before: never sent.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -290,6 +290,30 @@
 		"no update is in transit")
 }
 
+// TestDigestWithAnOlderConfigurationIsAnswered guards against a daemon that keeps an old configuration because it was left
+// out when the newer one was spread.
+func TestDigestWithAnOlderConfigurationIsAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ended := make(chan error, 1)
+	t.Cleanup(func() { // runs after the daemons have closed their connections
+		_ = listener.Close()
+		<-ended
+	})
+	memory := store.NewMemory(clockwork.NewRealClock())
+	newer, older := newDaemon(t, memory), newDaemon(t, memory)
+	go func() { ended <- peer.Serve(context.Background(), listener, gossipHandler{older.control}) }()
+	data, err := platform.EncodeConfig(&class.Config{Version: 5})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	newer.control.post(context.Background(), func(now ownership.Instant) {
+		newer.control.applyEntry(now, membership.Entry{Key: platform.ConfigKey, Version: 9, Data: data})
+	})
+	gossipHandler{newer.control}.Digest(peer.Digest{From: listener.Addr().String(), Digest: 1, Config: 8})
+	g.Eventually(func() *class.Config { return older.callerHandler.Config() }).Should(gomega.HaveField("Version",
+		class.Version(5)))
+}
+
 // TestOnlyTheFirstHostsOfALargeDomainWatch checks a mesh of hundreds of hosts, in which announcements are several
 // seconds apart: only the first host of the failure domain watches the store, from the start on, and another one takes
 // over when it falls silent.
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -362,8 +362,13 @@
 	return addresses[c.random.IntN(len(addresses))]
 }
 
-// handleDigest compares a peer's digest with the local state, and pulls newer entries from the peer if needed.
+// handleDigest compares a peer's digest with the local state, and pulls newer entries from the peer if needed. A peer with
+// an older configuration is sent the newer one: it may be pulling from a host that does not respond, and would otherwise
+// have to wait for a digest of a daemon that has it.
 func (c *control) handleDigest(now ownership.Instant, d peer.Digest) {
+	if config := c.replica.Get(platform.ConfigKey); config.Version > d.Config && d.From != "" {
+		c.push([]string{d.From}, peer.Update{Entries: []membership.Entry{config}})
+	}
 	if c.isPullNeeded(now, d) {
 		c.gossip.mismatches = 0
 		c.pullNewer(d.From)
