fix(caller): offer rejected calls again in proportion to those that are accepted

But one offer refuses calls that another server has room for. TestOverloadedServiceIsOfferedCallsOnce failed before: 400 offers of 200 calls to a service that rejects all of them.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -227,6 +227,59 @@
 	g.Expect(result.RetryAfter).To(gomega.Equal(49*time.Millisecond), "the sooner of the two")
 }
 
+// crowdedSender rejects the calls to some servers and answers the others.
+type crowdedSender struct {
+	isCrowded func(ownership.HostID) bool
+	offers    int
+}
+
+func (s *crowdedSender) Send(_ context.Context, to *caller.Server, _ call.Call) call.Result {
+	s.offers++
+	if !s.isCrowded(to.Host) {
+		return answered(200)
+	}
+	return call.NotRun(call.Overload)
+}
+
+// TestOverloadedServiceIsOfferedCallsOnce guards against rejected calls taking the processor time of the daemons from the
+// calls that are served.
+func TestOverloadedServiceIsOfferedCallsOnce(t *testing.T) {
+	const calls = 200
+	for name, c := range map[string]struct {
+		crowded   int
+		maxOffers int
+		answered  int
+	}{
+		"all of 16 servers": {crowded: 16, maxOffers: calls * 11 / 10},
+		"one of 16 servers": {crowded: 1, maxOffers: calls * 12 / 10, answered: calls},
+		"half of them":      {crowded: 8, maxOffers: calls * 3 / 2, answered: calls / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			clock := clockwork.NewRealClock()
+			var servers []caller.Server
+			for i := range 16 {
+				servers = append(servers, caller.Server{Host: ownership.HostID(rune('a' + i)), IsUsable: true, Concurrency: 2})
+			}
+			table := caller.NewTable()
+			table.Set(caller.Routes{"free": caller.NewServiceRoute(false, servers, nil)})
+			s := &crowdedSender{isCrowded: func(h ownership.HostID) bool { return int(h[0]-'a') < c.crowded }}
+			budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
+			relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
+			answered := 0
+			for range calls {
+				result := relay.Do(context.Background(),
+					call.Call{Service: "free", Class: &classes[0], Deadline: clock.Now().Add(time.Second)})
+				if result.Outcome == class.Answered {
+					answered++
+				}
+			}
+			g.Expect(s.offers).To(gomega.BeNumerically("<=", c.maxOffers))
+			g.Expect(answered).To(gomega.BeNumerically(">=", c.answered))
+		})
+	}
+}
+
 // TestKeyWithoutUsableOwner checks that a call for a key without a usable owner is rejected well before its deadline,
 // so that the caller has time to retry.
 func TestKeyWithoutUsableOwner(t *testing.T) {
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -40,13 +40,15 @@
 
 // Relay forwards each call to the owner of its key, or to a server that the balancer selects if it has no key. It
 // retries calls that did not run, and idempotent calls whose result was lost or that failed. Each attempt after one
-// that may have reached a server takes a token from the retry budget.
+// that may have reached a server takes a token from the retry budget, and each after a rejection by admission control one
+// from the budget of offers.
 type Relay struct {
 	clock        clockwork.Clock
 	table        *Table
 	sender       Sender
 	balancer     *balancer
 	budget       *Budget
+	offers       *offerBudget
 	onUnanswered func(Attempt)
 }
 
@@ -62,6 +64,7 @@
 		sender:       sender,
 		balancer:     newBalancer(domain, clock, rand.New(rand.NewPCG(seed, 1))),
 		budget:       budget,
+		offers:       newOfferBudget(),
 		onUnanswered: onUnanswered,
 	}
 }
@@ -162,11 +165,6 @@
 	s.refusals++
 }
 
-// maxRejections is the number of servers that a call is offered to if their admission control rejects it. The least loaded
-// of the servers are asked first, so two rejections show that the service is overloaded. Each further offer would take
-// processor time from both daemons that the calls in progress need.
-const maxRejections = 2
-
 // isRejection reports whether the admission control of a server rejected the call.
 func isRejection(result call.Result) bool {
 	return result.Outcome == class.NotRun && (result.Reason == call.Overload || result.Reason == call.Late)
@@ -202,6 +200,8 @@
 	state.mayHaveRun = state.mayHaveRun || result.Outcome == class.Unknown
 	if isRejection(result) {
 		state.recordRejection(result.RetryAfter)
+	} else if result.Outcome != class.NotRun {
+		r.offers.recordAccepted(state.call.Service)
 	}
 	if result.Outcome != class.Answered {
 		r.onUnanswered(Attempt{Call: state.call, Host: target.Host, Result: result, Duration: r.clock.Since(start)})
@@ -267,7 +267,8 @@
 		}
 		return finishCall
 	case call.Overload, call.Late:
-		if !state.call.HasKey && state.rejections < maxRejections && r.hasTimeToRetry(state) {
+		isUseful := !state.call.HasKey && state.rejections < maxRejections && r.hasTimeToRetry(state)
+		if isUseful && r.offers.spend(state.call.Service) {
 			return retryNow
 		}
 		return finishCall
