fix(backend): keep the rate limit that a backend server states

Cause: nothing read the header. The concurrency was the only limit, and a server that asks for fewer calls runs each of them as fast as before. Change: the daemon beside the server, which alone reaches it, keeps the limit with a token bucket in front of admission control. The limit also bounds the capacity that is divided among the classes, so that calls that find no room are refused at once, by rank, with a Retry-After. After a restart of the daemon one call at a time is sent until a response shows the limit.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
@@ -49,18 +50,31 @@
 	limit   *ConcurrencyLimit
 	running int
 	nextID  uint64
+	rate    rateLimiter
+	// statedRate is the last value of SetRateLimit. The limiter may permit more, see minRate.
+	statedRate rate.Limit
+	// isRateUnknown limits the concurrency to one until SetRateLimit.
+	isRateUnknown bool
+	// isWakeScheduled reports whether a timer will start queued jobs once the rate limit permits.
+	isWakeScheduled bool
 }
 
 // rejectionMargin is how long before its deadline a queued call is rejected, so that the rejection reaches the daemon
 // that sent the call before that daemon reports the outcome as unknown.
 const rejectionMargin = 25 * time.Millisecond
 
-// concurrencyAware is implemented by policies that depend on the number of jobs that the server runs at a time.
-type concurrencyAware interface{ SetConcurrency(concurrency int) }
+// capacityAware is implemented by policies that depend on how many jobs the server runs at a time, and on how many may
+// start per second.
+type capacityAware interface {
+	SetConcurrency(concurrency int)
+	SetRateLimit(limit rate.Limit)
+}
 
 // NewController returns a controller for a server that runs the given number of calls at a time.
 func NewController(policy Policy, concurrency int, clock clockwork.Clock) *Controller {
-	return &Controller{clock: clock, policy: policy, limit: NewConcurrencyLimit(concurrency)}
+	return &Controller{
+		clock: clock, policy: policy, limit: NewConcurrencyLimit(concurrency), statedRate: rate.Inf,
+	}
 }
 
 // SetConcurrency sets the number of calls that the server runs at a time, and resets the concurrency limit to it.
@@ -72,6 +86,29 @@
 	c.dispatch()
 }
 
+// AwaitRateLimit limits the concurrency to one until SetRateLimit. A daemon that starts beside a running server does not
+// know the limit that the server may have stated before.
+func (c *Controller) AwaitRateLimit() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isRateUnknown = true
+}
+
+// SetRateLimit sets the number of calls per second that the server accepts. With rate.Inf there is no limit.
+func (c *Controller) SetRateLimit(limit rate.Limit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if limit == c.statedRate && !c.isRateUnknown {
+		return
+	}
+	c.isRateUnknown, c.statedRate = false, limit
+	c.rate.set(c.clock.Now(), limit)
+	if p, ok := c.policy.(capacityAware); ok {
+		p.SetRateLimit(c.rate.limit())
+	}
+	c.dispatch()
+}
+
 // Ticket permits one call to run. It counts against the concurrency limit until Done, Shed or Cancel is called.
 type Ticket struct {
 	controller *Controller
@@ -126,6 +163,9 @@
 	c.nextID++
 	job := &Job{ID: c.nextID, Class: callClass.Name, Arrived: now, Deadline: deadline, Data: admitted}
 	c.policy.UpdateClass(now, callClass)
+	if delay := c.rate.delay(now, 1); delay > 0 && now.Add(delay).After(deadline.Add(-rejectionMargin)) {
+		return nil, delay
+	}
 	if !c.policy.Offer(now, job) {
 		if job.RetryAfter > 0 {
 			return nil, job.RetryAfter
@@ -138,7 +178,8 @@
 
 // estimatedWait returns how long a new call is expected to be queued.
 func (c *Controller) estimatedWait() time.Duration {
-	return c.policy.Backlog() / time.Duration(c.limit.Current())
+	byConcurrency := c.policy.Backlog() / time.Duration(c.limit.Current())
+	return max(byConcurrency, c.rate.delay(c.clock.Now(), c.policy.Waiting()+1))
 }
 
 func (c *Controller) remove(job *Job) bool {
@@ -173,16 +214,29 @@
 }
 
 func (c *Controller) updatePolicyConcurrency() {
-	if p, ok := c.policy.(concurrencyAware); ok {
+	if p, ok := c.policy.(capacityAware); ok {
 		p.SetConcurrency(c.limit.Current())
 	}
 }
 
-// dispatch starts queued jobs while fewer run than the concurrency limit allows.
+// maxRunning returns the number of jobs that may run at a time.
+func (c *Controller) maxRunning() int {
+	if c.isRateUnknown {
+		return 1
+	}
+	return c.limit.Current()
+}
+
+// dispatch starts queued jobs while fewer run than the concurrency limit allows and the rate limit permits.
 func (c *Controller) dispatch() {
-	for c.running < c.limit.Current() {
+	for c.running < c.maxRunning() {
+		now := c.clock.Now()
+		if delay := c.rate.delay(now, 1); delay > 0 {
+			c.dispatchAfter(delay)
+			return
+		}
 		started := false
-		for _, d := range c.policy.Next(c.clock.Now()) {
+		for _, d := range c.policy.Next(now) {
 			d.Job.Data.(chan bool) <- d.Run
 			started = started || d.Run
 		}
@@ -190,7 +244,22 @@
 			return
 		}
 		c.running++
+		c.rate.start(now)
+	}
+}
+
+// dispatchAfter schedules the next dispatch if jobs are queued.
+func (c *Controller) dispatchAfter(delay time.Duration) {
+	if c.isWakeScheduled || c.policy.Waiting() == 0 {
+		return
 	}
+	c.isWakeScheduled = true
+	c.clock.AfterFunc(delay, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.isWakeScheduled = false
+		c.dispatch()
+	})
 }
 
 // State is a snapshot of a controller, for logs and status output.
@@ -200,11 +269,17 @@
 	Limit   int `json:"limit"`
 	// Wait is how long a new call is expected to be queued.
 	Wait time.Duration `json:"wait_ns"`
+	// RatePerSecond is the rate limit in calls per second, or zero if there is none.
+	RatePerSecond float64 `json:"rate_per_s,omitempty"`
 }
 
 // State returns a snapshot of the controller.
 func (c *Controller) State() State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return State{Running: c.running, Waiting: c.policy.Waiting(), Limit: c.limit.Current(), Wait: c.estimatedWait()}
+	s := State{Running: c.running, Waiting: c.policy.Waiting(), Limit: c.limit.Current(), Wait: c.estimatedWait()}
+	if limit := c.rate.limit(); limit != rate.Inf {
+		s.RatePerSecond = float64(limit)
+	}
+	return s
 }
--- a/admission/target_policy.go
+++ b/admission/target_policy.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
@@ -72,7 +74,10 @@
 // the rest; within each, more urgent ranks run first. Jobs that can no longer meet their latency target run after those
 // that can, and jobs that can no longer meet their deadline are dropped.
 type TargetPolicy struct {
-	// capacity is the server's concurrency, in jobs: the amount that is divided among the classes.
+	concurrency int
+	rateLimit   rate.Limit
+	// capacity is the mean number of jobs that the server can run at a time: its concurrency, or less if the rate limit
+	// does not permit enough starts. It is divided among the classes.
 	capacity    float64
 	byRank      []*classState
 	states      map[class.Name]*classState
@@ -86,11 +91,44 @@
 
 // NewTargetPolicy returns a policy for a server that runs the given number of jobs at a time.
 func NewTargetPolicy(concurrency int) *TargetPolicy {
-	return &TargetPolicy{capacity: float64(concurrency), states: map[class.Name]*classState{}}
+	t := &TargetPolicy{concurrency: concurrency, rateLimit: rate.Inf, states: map[class.Name]*classState{}}
+	t.setCapacity()
+	return t
 }
 
 // SetConcurrency sets the number of jobs that the server runs at a time.
-func (t *TargetPolicy) SetConcurrency(concurrency int) { t.capacity = float64(concurrency) }
+func (t *TargetPolicy) SetConcurrency(concurrency int) {
+	t.concurrency = concurrency
+	t.setCapacity()
+}
+
+// SetRateLimit sets the number of jobs that may start per second. With rate.Inf there is no limit.
+func (t *TargetPolicy) SetRateLimit(limit rate.Limit) {
+	t.rateLimit = limit
+	t.setCapacity()
+	t.setGuarantees()
+}
+
+// setCapacity computes the capacity from the concurrency, the rate limit and the learned service times.
+func (t *TargetPolicy) setCapacity() {
+	t.capacity = float64(t.concurrency)
+	if t.rateLimit != rate.Inf {
+		t.capacity = min(t.capacity, float64(t.rateLimit)*t.meanServiceTime().Seconds())
+	}
+}
+
+// meanServiceTime returns the mean service time of the classes, weighted by their demand.
+func (t *TargetPolicy) meanServiceTime() time.Duration {
+	var work, demand float64
+	for _, s := range t.byRank {
+		work += s.demand * s.serviceTime.Seconds()
+		demand += s.demand
+	}
+	if demand == 0 {
+		return initialServiceTime
+	}
+	return time.Duration(work / demand * float64(time.Second))
+}
 
 // SetClasses implements Policy. A class that is no longer configured is kept if jobs of it are queued.
 func (t *TargetPolicy) SetClasses(now time.Time, classes []class.Class) {
@@ -335,6 +373,7 @@
 		s.recentUse += recentUseWeight * (s.startedWork.Seconds()/elapsed.Seconds() - s.recentUse)
 		s.startedWork = 0
 	}
+	t.setCapacity()
 	t.setGuarantees()
 }
 
--- a/admission/wait_estimate.go
+++ b/admission/wait_estimate.go
@@ -25,7 +25,7 @@
 
 // startInterval returns the mean interval between job starts if all of the capacity ran jobs of one class.
 func (t *TargetPolicy) startInterval(s *classState) time.Duration {
-	return time.Duration(float64(s.serviceTime) / max(1, t.capacity))
+	return time.Duration(float64(s.serviceTime) / t.capacity)
 }
 
 // estimateWait returns how long a new job of a class is expected to wait. On a saturated server each class is assumed
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -18,7 +18,10 @@
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 )
 
-var headerNames = call.DefaultHeaderNames()
+var (
+	headerNames = call.DefaultHeaderNames()
+	realClock   = clockwork.NewRealClock()
+)
 
 // newCall returns a call for key 7 whose deadline passes after the timeout.
 func newCall(timeout time.Duration) call.Call {
--- a/backend/client.go
+++ b/backend/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
@@ -78,7 +80,23 @@
 	if err != nil {
 		return ErrorResult(ctx, err, !client.clock.Now().Before(c.Deadline))
 	}
-	return client.parseResponse(response)
+	result := client.parseResponse(response)
+	result.Notice = client.parseNotice(response.Header)
+	return result
+}
+
+// parseNotice returns what the server states about itself in the headers of a response.
+func (client *Client) parseNotice(header http.Header) *call.Notice {
+	name := client.headerNames.RateLimit
+	text := header.Get(name)
+	if text == "" {
+		return &call.Notice{RateLimit: rate.Inf}
+	}
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || limit < 0 || math.IsNaN(limit) || math.IsInf(limit, 0) {
+		return &call.Notice{Err: &call.NoticeError{Header: name, Value: text}}
+	}
+	return &call.Notice{RateLimit: rate.Limit(limit)}
 }
 
 // isRejection reports whether a response means that the server did not run the call.
--- /dev/null
+++ b/backend/notice.go
@@ -0,0 +1,40 @@
+package backend
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/class"
+)
+
+// RateLimitChange describes a change of the rate limit that the backend server states in its responses, for logs.
+type RateLimitChange struct {
+	Instance string
+	// Before and After are rate.Inf while the server states no limit.
+	Before, After rate.Limit
+	// Request is the call whose response led to the change.
+	Request class.RequestID
+}
+
+// statedLimit is the rate limit that one instance of the backend server states in its responses.
+type statedLimit struct {
+	limit rate.Limit
+	// statedAt is when the last response that states a limit arrived.
+	statedAt time.Time
+}
+
+// observe applies the response to a call that was sent at the given time. A response without a limit ends the limit
+// only if the call ran and was sent after the last response that states one, because responses to calls that run at the
+// same time arrive in any order.
+func (s *statedLimit) observe(now, sentAt time.Time, result call.Result) {
+	notice := result.Notice
+	switch {
+	case notice == nil || notice.Err != nil:
+	case notice.RateLimit != rate.Inf:
+		s.limit, s.statedAt = notice.RateLimit, now
+	case result.Outcome == class.Answered && sentAt.After(s.statedAt):
+		s.limit = rate.Inf
+	}
+}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/call"
@@ -62,8 +63,13 @@
 	onUnreachable func()
 	// isAssigned is nil if calls never wait for their key.
 	isAssigned AssignmentCheck
+	// onRateLimit and onInvalidNotice may be nil.
+	onRateLimit     func(RateLimitChange)
+	onInvalidNotice func(error)
 
 	mu sync.Mutex
+	// stated is what the server at the current client stated about itself.
+	stated statedLimit
 	// runTimes and totalRunTime hold the run time of calls, by key and in total, since TakeRunTimes last reset them.
 	runTimes     map[class.Key]time.Duration
 	totalRunTime time.Duration
@@ -77,6 +83,12 @@
 // way arrives with one of the next heartbeats. It must be called before the first call.
 func (r *Runner) WaitForKeys(isAssigned AssignmentCheck) { r.isAssigned = isAssigned }
 
+// ObserveNotices sets the functions that are called when the rate limit of the server changes, and for invalid notices in
+// its responses. They must not block. It must be called before the first call.
+func (r *Runner) ObserveNotices(onRateLimit func(RateLimitChange), onInvalid func(error)) {
+	r.onRateLimit, r.onInvalidNotice = onRateLimit, onInvalid
+}
+
 // NewRunner returns a runner without a permit, which rejects all calls. It calls onUnreachable, which must not block,
 // when a call could not connect to the server's address.
 func NewRunner(controller *admission.Controller, onUnreachable func(), clock clockwork.Clock) *Runner {
@@ -85,6 +97,7 @@
 		controller:    controller,
 		onUnreachable: onUnreachable,
 		runTimes:      map[class.Key]time.Duration{},
+		stated:        statedLimit{limit: rate.Inf},
 	}
 	r.current.Store(&activePermit{replaced: make(chan struct{})})
 	return r
@@ -92,7 +105,14 @@
 
 // SetPermit replaces the permit and the client. Queued calls check again whether they may start.
 func (r *Runner) SetPermit(p Permit, client *Client) {
+	r.mu.Lock()
 	old := r.current.Swap(&activePermit{Permit: p, client: client, replaced: make(chan struct{})})
+	if old.client != nil && client != old.client {
+		// The client is replaced with the instance of the server, and another instance may accept more.
+		r.stated = statedLimit{limit: rate.Inf}
+		r.controller.SetRateLimit(rate.Inf)
+	}
+	r.mu.Unlock()
 	if p.Concurrency != old.Concurrency && p.Concurrency > 0 {
 		r.controller.SetConcurrency(p.Concurrency)
 	}
@@ -225,6 +245,7 @@
 	r.running.Add(1)
 	result := permit.client.Do(ctx, c, permit.Instance)
 	r.running.Add(-1)
+	r.observeNotice(permit, c, start, result)
 	if result.Reason == call.Unreachable {
 		r.onUnreachable()
 	}
@@ -246,5 +267,28 @@
 	return result
 }
 
+// observeNotice applies what the server stated about itself in the response to a call.
+func (r *Runner) observeNotice(permit *activePermit, c call.Call, sentAt time.Time, result call.Result) {
+	if result.Notice != nil && result.Notice.Err != nil && r.onInvalidNotice != nil {
+		r.onInvalidNotice(result.Notice.Err)
+	}
+	if result.Notice == nil && result.Outcome != class.Unknown {
+		return // the server got no call
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.current.Load().client != permit.client {
+		return // the response is from an earlier instance
+	}
+	before := r.stated.limit
+	r.stated.observe(r.clock.Now(), sentAt, result)
+	after := r.stated.limit
+	// It is set also if it is unchanged, because the controller may still await it.
+	r.controller.SetRateLimit(after)
+	if after != before && r.onRateLimit != nil {
+		r.onRateLimit(RateLimitChange{Instance: permit.Instance, Before: before, After: after, Request: c.ID})
+	}
+}
+
 // State returns the state of admission control.
 func (r *Runner) State() admission.State { return r.controller.State() }
--- a/call/call.go
+++ b/call/call.go
@@ -107,6 +107,8 @@
 	RetryAfter time.Duration
 	// Load is the load of the backend server as its daemon reported it, or nil.
 	Load *Load
+	// Notice is what the backend server stated about itself, or nil if it sent no response.
+	Notice *Notice
 }
 
 // Load is the load of a backend server and the admission queue before it.
--- a/call/header.go
+++ b/call/header.go
@@ -22,6 +22,8 @@
 	Origin string
 	// Key is the key that the request refers to.
 	Key string
+	// RateLimit is the number of requests per second that a backend server accepts from all hosts together.
+	RateLimit string
 }
 
 // DefaultHeaderNames returns the header names that are used without a platform adapter.
@@ -34,6 +36,7 @@
 		NotExecuted:      "Skylark-Not-Executed",
 		Origin:           "Skylark-Origin",
 		Key:              "Skylark-Key",
+		RateLimit:        "Skylark-Rate-Limit",
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,7 +73,9 @@
 	seed := rand.Uint64()
 	admissionController := admission.NewController(
 		admission.NewTargetPolicy(defaultConcurrency), defaultConcurrency, o.Clock)
+	admissionController.AwaitRateLimit()
 	d.runner = backend.NewRunner(admissionController, func() { d.control.probeServerSoon() }, o.Clock)
+	d.runner.ObserveNotices(d.observer.rateLimitChanged, func(err error) { d.observer.inputRejected("backend server", err) })
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock)
 	table := caller.NewTable()
 	d.runner.WaitForKeys(func(key class.Key) (bool, <-chan struct{}) {
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
+	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
@@ -166,6 +167,17 @@
 	o.events.Add(timeline.Event{Kind: timeline.Configuration, Name: "in_force"})
 }
 
+// rateLimitChanged records that the backend server changed its rate limit.
+func (o *observer) rateLimitChanged(change backend.RateLimitChange) {
+	perSecond := 0.0 // no limit
+	if change.After != rate.Inf {
+		perSecond = float64(change.After)
+	}
+	metrics.GetOrRegisterGaugeFloat64("backend.rate_limit_per_s", o.registry).Update(perSecond)
+	o.log.Info("rate limit of the backend server", "instance", change.Instance, "before", float64(change.Before),
+		"after", float64(change.After), "request", change.Request)
+}
+
 // ownershipEvent records a decision about the ownership of keys.
 func (o *observer) ownershipEvent(service class.Service, e ownership.Event) {
 	o.counter("ownership." + e.Kind.String()).inc()
