fix(caller): prefer servers whose rate limit leaves room

Cause: a call without a key goes to the server with the lowest score, and the score counted running and queued calls only. A server at its rate limit has few of either, so it looked idle and got all the calls, which it then refused. Change: the daemon beside a server reports the delay by the rate limit, and the score adds it. Daemons of before ignore the new field.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -178,8 +178,12 @@
 
 // estimatedWait returns how long a new call is expected to be queued.
 func (c *Controller) estimatedWait() time.Duration {
-	byConcurrency := c.policy.Backlog() / time.Duration(c.limit.Current())
-	return max(byConcurrency, c.rate.delay(c.clock.Now(), c.policy.Waiting()+1))
+	return max(c.policy.Backlog()/time.Duration(c.limit.Current()), c.rateDelay())
+}
+
+// rateDelay returns how long a new call is expected to be queued because of the rate limit.
+func (c *Controller) rateDelay() time.Duration {
+	return c.rate.delay(c.clock.Now(), c.policy.Waiting()+1)
 }
 
 func (c *Controller) remove(job *Job) bool {
@@ -267,8 +271,9 @@
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	Limit   int `json:"limit"`
-	// Wait is how long a new call is expected to be queued.
-	Wait time.Duration `json:"wait_ns"`
+	// Wait is how long a new call is expected to be queued, and RateDelay how long for the rate limit alone.
+	Wait      time.Duration `json:"wait_ns"`
+	RateDelay time.Duration `json:"rate_delay_ns,omitempty"`
 	// RatePerSecond is the rate limit in calls per second, or zero if there is none.
 	RatePerSecond float64 `json:"rate_per_s,omitempty"`
 }
@@ -277,7 +282,13 @@
 func (c *Controller) State() State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := State{Running: c.running, Waiting: c.policy.Waiting(), Limit: c.limit.Current(), Wait: c.estimatedWait()}
+	s := State{
+		Running:   c.running,
+		Waiting:   c.policy.Waiting(),
+		Limit:     c.limit.Current(),
+		Wait:      c.estimatedWait(),
+		RateDelay: c.rateDelay(),
+	}
 	if limit := c.rate.limit(); limit != rate.Inf {
 		s.RatePerSecond = float64(limit)
 	}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -140,7 +140,13 @@
 // Load returns the load of the server and of the admission queue before it.
 func (r *Runner) Load() call.Load {
 	state := r.controller.State()
-	return call.Load{Running: state.Running, Waiting: state.Waiting, Concurrency: state.Limit, QueueDelay: state.Wait}
+	return call.Load{
+		Running:     state.Running,
+		Waiting:     state.Waiting,
+		Concurrency: state.Limit,
+		QueueDelay:  state.Wait,
+		RateDelay:   state.RateDelay,
+	}
 }
 
 // Run admits a call and sends it to the server. The result carries the load, and a RetryAfter if the call did not run.
--- a/call/call.go
+++ b/call/call.go
@@ -120,6 +120,9 @@
 	Concurrency int
 	// QueueDelay is the expected wait of a new call.
 	QueueDelay time.Duration
+	// RateDelay is the part of it that is due to the rate limit of the server. A server at its limit may have no calls
+	// running or waiting.
+	RateDelay time.Duration
 }
 
 // NotRun returns the result of a call that is known not to have started.
--- a/caller/balancer.go
+++ b/caller/balancer.go
@@ -121,7 +121,7 @@
 	queue := max(float64(stats.inFlight), loadWeight*float64(stats.load.Running+stats.load.Waiting))
 	wait := max(0, queue+1-concurrency) / concurrency
 	// The last term prefers the less busy one of two servers that could both start the call at once.
-	score := stats.latency.Seconds() * (1 + wait + 0.1*queue/concurrency)
+	score := stats.latency.Seconds()*(1+wait+0.1*queue/concurrency) + loadWeight*stats.load.RateDelay.Seconds()
 	if now.Before(s.WarmupUntil) {
 		score *= warmupPenalty
 	}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -280,6 +280,39 @@
 	}
 }
 
+// TestCallsGoWhereTheRateLimitLeavesRoom checks that calls avoid a server that has free capacity and accepts no more calls
+// for a while.
+func TestCallsGoWhereTheRateLimitLeavesRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewRealClock()
+	table := caller.NewTable()
+	table.Set(newRoutes())
+	s := &limitedSender{limited: "a"}
+	budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
+	relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
+	for range 50 {
+		relay.Do(context.Background(),
+			call.Call{Service: "free", Class: &classes[0], Deadline: clock.Now().Add(time.Second)})
+	}
+	g.Expect(s.sentToLimited).To(gomega.BeNumerically("<=", 2), "of 50 calls")
+}
+
+// limitedSender answers all calls. One of the servers reports that it accepts no more calls for a while.
+type limitedSender struct {
+	limited       ownership.HostID
+	sentToLimited int
+}
+
+func (s *limitedSender) Send(_ context.Context, to *caller.Server, _ call.Call) call.Result {
+	result := answered(200)
+	result.Load = &call.Load{Concurrency: 2}
+	if to.Host == s.limited {
+		s.sentToLimited++
+		result.Load.RateDelay = 200 * time.Millisecond
+	}
+	return result
+}
+
 // TestKeyWithoutUsableOwner checks that a call for a key without a usable owner is rejected well before its deadline,
 // so that the caller has time to retry.
 func TestKeyWithoutUsableOwner(t *testing.T) {
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -64,8 +64,12 @@
 	hopMaxBody = 64 << 20
 	// specFormat encodes the settings of a class that admission needs: latency in microseconds, rank, idempotence.
 	specFormat = "%d,%d,%t"
-	// loadFormat encodes a load: running calls, waiting calls, concurrency limit, and queue delay in microseconds.
-	loadFormat = "%d,%d,%d,%d"
+	// loadFormat encodes a load: running calls, waiting calls, concurrency limit, and queue delay in microseconds. If there
+	// is a rate delay, it follows in microseconds; daemons that do not know it ignore it.
+	loadFormat      = "%d,%d,%d,%d"
+	rateDelayFormat = ",%d"
+	// requiredLoadFields is the number of fields of loadFormat.
+	requiredLoadFields = 4
 )
 
 // MessageError reports a message to or from another daemon that could not be encoded, decoded or answered.
@@ -228,10 +232,13 @@
 		result.RetryAfter = time.Duration(us) * time.Microsecond
 	}
 	var load call.Load
-	var queueDelayUS int64
-	if n, err := fmt.Sscanf(r.Header.Get(loadHeader), loadFormat,
-		&load.Running, &load.Waiting, &load.Concurrency, &queueDelayUS); err == nil && n == 4 {
+	var queueDelayUS, rateDelayUS int64
+	// The error is ignored because the rate delay may be missing.
+	n, _ := fmt.Sscanf(r.Header.Get(loadHeader), loadFormat+rateDelayFormat,
+		&load.Running, &load.Waiting, &load.Concurrency, &queueDelayUS, &rateDelayUS)
+	if n >= requiredLoadFields {
 		load.QueueDelay = time.Duration(queueDelayUS) * time.Microsecond
+		load.RateDelay = time.Duration(rateDelayUS) * time.Microsecond
 		result.Load = &load
 	}
 	call.StripHopByHop(r.Header)
@@ -340,8 +347,12 @@
 		header.Set(retryAfterHeader, strconv.FormatInt(result.RetryAfter.Microseconds(), 10))
 	}
 	if result.Load != nil {
-		header.Set(loadHeader, fmt.Sprintf(loadFormat,
-			result.Load.Running, result.Load.Waiting, result.Load.Concurrency, result.Load.QueueDelay.Microseconds()))
+		load := fmt.Sprintf(loadFormat,
+			result.Load.Running, result.Load.Waiting, result.Load.Concurrency, result.Load.QueueDelay.Microseconds())
+		if result.Load.RateDelay > 0 {
+			load += fmt.Sprintf(rateDelayFormat, result.Load.RateDelay.Microseconds())
+		}
+		header.Set(loadHeader, load)
 	}
 	header.Set("Content-Length", strconv.Itoa(len(result.Body)))
 	if _, ok := header["Content-Type"]; !ok {
--- a/peer/hop_test.go
+++ b/peer/hop_test.go
@@ -57,7 +57,9 @@
 
 func TestForwardRoundTrip(t *testing.T) {
 	g := gomega.NewWithT(t)
-	load := &call.Load{Running: 1, Waiting: 2, Concurrency: 3, QueueDelay: 4 * time.Millisecond}
+	load := &call.Load{
+		Running: 1, Waiting: 2, Concurrency: 3, QueueDelay: 4 * time.Millisecond, RateDelay: 5 * time.Millisecond,
+	}
 	runner := &recordingRunner{result: call.Result{
 		Outcome: class.Answered,
 		Status:  http.StatusCreated,
