fix(daemon): a server that states in a response that it is leaving gets no more work

Cause: only heartbeats and deregistrations ended the work of a server. One that leaves without them, or whose daemon restarts and forgets them, got calls for as long as it answered; the daemons that had passed its responses on knew, and did not look. Change: the daemon beside the server starts the drain time at the first such response, for the rest of that instance; the daemon of the callers remembers it as well and sends nothing once that time has passed, also if the other forgets.

--- a/backend/client.go
+++ b/backend/client.go
@@ -87,16 +87,22 @@
 
 // parseNotice returns what the server states about itself in the headers of a response.
 func (client *Client) parseNotice(header http.Header) *call.Notice {
+	notice := &call.Notice{
+		RateLimit: rate.Inf,
+		IsLeaving: header.Get(client.headerNames.Leaving) == call.LeavingValue,
+	}
 	name := client.headerNames.RateLimit
 	text := header.Get(name)
 	if text == "" {
-		return &call.Notice{RateLimit: rate.Inf}
+		return notice
 	}
 	limit, err := strconv.ParseFloat(text, 64)
 	if err != nil || limit < 0 || math.IsNaN(limit) || math.IsInf(limit, 0) {
-		return &call.Notice{Err: &call.NoticeError{Header: name, Value: text}}
+		notice.Err = &call.NoticeError{Header: name, Value: text}
+		return notice
 	}
-	return &call.Notice{RateLimit: rate.Limit(limit)}
+	notice.RateLimit = rate.Limit(limit)
+	return notice
 }
 
 // isRejection reports whether a response means that the server did not run the call.
--- a/backend/notice.go
+++ b/backend/notice.go
@@ -25,6 +25,24 @@
 	statedAt time.Time
 }
 
+// notices is what one instance of the backend server stated about itself in its responses.
+type notices struct {
+	rate statedLimit
+	// isLeaving reports whether a response stated that the server is leaving.
+	isLeaving bool
+}
+
+func newNotices() notices { return notices{rate: statedLimit{limit: rate.Inf}} }
+
+// NoticeObserver holds the functions that are called for what the server states about itself. They must not block.
+type NoticeObserver struct {
+	RateLimitChanged func(RateLimitChange)
+	// Leaving is called at the first response in which an instance states that it is leaving.
+	Leaving func(instance string, request class.RequestID)
+	// Invalid is called for a statement that cannot be parsed.
+	Invalid func(error)
+}
+
 // observe applies the response to a call that was sent at the given time. A response without a limit ends the limit
 // only if the call ran and was sent after the last response that states one, because responses to calls that run at the
 // same time arrive in any order.
--- a/backend/notice_test.go
+++ b/backend/notice_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/skylarkrelay/skylarkrelay/backend"
+	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
@@ -56,6 +57,14 @@
 	return int(s.arrived.Load() - before)
 }
 
+func ignoreNotices() backend.NoticeObserver {
+	return backend.NoticeObserver{
+		RateLimitChanged: func(backend.RateLimitChange) {},
+		Leaving:          func(string, class.RequestID) {},
+		Invalid:          func(error) {},
+	}
+}
+
 // TestServerGetsNoMoreThanItsRateLimit guards against a server getting many times the requests that it accepts.
 func TestServerGetsNoMoreThanItsRateLimit(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -72,7 +81,9 @@
 	s := newLimitedServer("10")
 	r, _ := newRunner(startServer(t, s.serve), unchanged)
 	var changes []rate.Limit
-	r.ObserveNotices(func(c backend.RateLimitChange) { changes = append(changes, c.After) }, func(error) {})
+	o := ignoreNotices()
+	o.RateLimitChanged = func(c backend.RateLimitChange) { changes = append(changes, c.After) }
+	r.ObserveNotices(o)
 	s.runCalls(r, 200*time.Millisecond)
 	s.limit.Store("")
 	s.runCalls(r, time.Second)
@@ -88,7 +99,9 @@
 			s := newLimitedServer("40")
 			r, _ := newRunner(startServer(t, s.serve), unchanged)
 			var reports atomic.Int64
-			r.ObserveNotices(func(backend.RateLimitChange) {}, func(error) { reports.Add(1) })
+			o := ignoreNotices()
+			o.Invalid = func(error) { reports.Add(1) }
+			r.ObserveNotices(o)
 			s.runCalls(r, 50*time.Millisecond)
 			s.limit.Store(invalid)
 			s.runCalls(r, 100*time.Millisecond)
@@ -110,3 +123,19 @@
 		backend.NewClient(address, 2, headerNames, func() {}, realClock))
 	g.Expect(r.State().RatePerSecond).To(gomega.BeZero())
 }
+
+// TestLeavingIsReportedOnce checks that a server that states in its responses that it is leaving is reported once.
+func TestLeavingIsReportedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newLimitedServer("")
+	r, _ := newRunner(startServer(t, func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set(headerNames.Leaving, call.LeavingValue)
+		s.serve(w, request)
+	}), unchanged)
+	var instances []string
+	o := ignoreNotices()
+	o.Leaving = func(instance string, _ class.RequestID) { instances = append(instances, instance) }
+	r.ObserveNotices(o)
+	s.runCalls(r, 50*time.Millisecond)
+	g.Expect(instances).To(gomega.Equal([]string{"i-1"}))
+}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -62,14 +62,12 @@
 	// onUnreachable is called when a call could not connect to the server's address. It must not block.
 	onUnreachable func()
 	// isAssigned is nil if calls never wait for their key.
-	isAssigned AssignmentCheck
-	// onRateLimit and onInvalidNotice may be nil.
-	onRateLimit     func(RateLimitChange)
-	onInvalidNotice func(error)
+	isAssigned     AssignmentCheck
+	noticeObserver NoticeObserver
 
 	mu sync.Mutex
 	// stated is what the server at the current client stated about itself.
-	stated statedLimit
+	stated notices
 	// runTimes and totalRunTime hold the run time of calls, by key and in total, since TakeRunTimes last reset them.
 	runTimes     map[class.Key]time.Duration
 	totalRunTime time.Duration
@@ -83,11 +81,8 @@
 // way arrives with one of the next heartbeats. It must be called before the first call.
 func (r *Runner) WaitForKeys(isAssigned AssignmentCheck) { r.isAssigned = isAssigned }
 
-// ObserveNotices sets the functions that are called when the rate limit of the server changes, and for invalid notices in
-// its responses. They must not block. It must be called before the first call.
-func (r *Runner) ObserveNotices(onRateLimit func(RateLimitChange), onInvalid func(error)) {
-	r.onRateLimit, r.onInvalidNotice = onRateLimit, onInvalid
-}
+// ObserveNotices sets the observer of what the server states about itself. It must be called before the first call.
+func (r *Runner) ObserveNotices(o NoticeObserver) { r.noticeObserver = o }
 
 // NewRunner returns a runner without a permit, which rejects all calls. It calls onUnreachable, which must not block,
 // when a call could not connect to the server's address.
@@ -97,7 +92,12 @@
 		controller:    controller,
 		onUnreachable: onUnreachable,
 		runTimes:      map[class.Key]time.Duration{},
-		stated:        statedLimit{limit: rate.Inf},
+		stated:        newNotices(),
+		noticeObserver: NoticeObserver{
+			RateLimitChanged: func(RateLimitChange) {},
+			Leaving:          func(string, class.RequestID) {},
+			Invalid:          func(error) {},
+		},
 	}
 	r.current.Store(&activePermit{replaced: make(chan struct{})})
 	return r
@@ -109,7 +109,7 @@
 	old := r.current.Swap(&activePermit{Permit: p, client: client, replaced: make(chan struct{})})
 	if old.client != nil && client != old.client {
 		// The client is replaced with the instance of the server, and another instance may accept more.
-		r.stated = statedLimit{limit: rate.Inf}
+		r.stated = newNotices()
 		r.controller.SetRateLimit(rate.Inf)
 	}
 	r.mu.Unlock()
@@ -275,24 +275,32 @@
 
 // observeNotice applies what the server stated about itself in the response to a call.
 func (r *Runner) observeNotice(permit *activePermit, c call.Call, sentAt time.Time, result call.Result) {
-	if result.Notice != nil && result.Notice.Err != nil && r.onInvalidNotice != nil {
-		r.onInvalidNotice(result.Notice.Err)
-	}
-	if result.Notice == nil && result.Outcome != class.Unknown {
-		return // the server got no call
+	if result.Notice == nil && result.Outcome != class.Unknown || result.Reason == call.Refused {
+		return // the server got no call, or the response may be from another instance at its address
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.current.Load().client != permit.client {
 		return // the response is from an earlier instance
 	}
-	before := r.stated.limit
-	r.stated.observe(r.clock.Now(), sentAt, result)
-	after := r.stated.limit
+	before := r.stated.rate.limit
+	r.stated.rate.observe(r.clock.Now(), sentAt, result)
+	after := r.stated.rate.limit
 	// It is set also if it is unchanged, because the controller may still await it.
 	r.controller.SetRateLimit(after)
-	if after != before && r.onRateLimit != nil {
-		r.onRateLimit(RateLimitChange{Instance: permit.Instance, Before: before, After: after, Request: c.ID})
+	if after != before {
+		r.noticeObserver.RateLimitChanged(
+			RateLimitChange{Instance: permit.Instance, Before: before, After: after, Request: c.ID})
+	}
+	if result.Notice == nil {
+		return
+	}
+	if result.Notice.Err != nil {
+		r.noticeObserver.Invalid(result.Notice.Err)
+	}
+	if result.Notice.IsLeaving && !r.stated.isLeaving {
+		r.stated.isLeaving = true
+		r.noticeObserver.Leaving(permit.Instance, c.ID)
 	}
 }
 
--- a/call/header.go
+++ b/call/header.go
@@ -24,6 +24,8 @@
 	Key string
 	// RateLimit is the number of requests per second that a backend server accepts from all hosts together.
 	RateLimit string
+	// Leaving states, with the value LeavingValue, that a backend server is leaving.
+	Leaving string
 }
 
 // DefaultHeaderNames returns the header names that are used without a platform adapter.
@@ -37,9 +39,13 @@
 		Origin:           "Skylark-Origin",
 		Key:              "Skylark-Key",
 		RateLimit:        "Skylark-Rate-Limit",
+		Leaving:          "Skylark-Leaving",
 	}
 }
 
+// LeavingValue is the value of the Leaving header of a backend server that is leaving.
+const LeavingValue = "1"
+
 // hopHeaderPrefix is the prefix of the headers that daemons add to forwarded calls and their responses.
 const hopHeaderPrefix = "Skylark-Hop-"
 
--- a/call/notice.go
+++ b/call/notice.go
@@ -9,6 +9,8 @@
 	RateLimit rate.Limit
 	// Err is a NoticeError if the response states a limit that cannot be parsed.
 	Err error
+	// IsLeaving reports that the server is about to end. It does not return to service as the same instance.
+	IsLeaving bool
 }
 
 // NoticeError reports a header in which a backend server states something about itself and that cannot be parsed.
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -49,6 +49,7 @@
 	balancer     *balancer
 	budget       *Budget
 	offers       *offerBudget
+	leaving      leavingServers
 	onUnanswered func(Attempt)
 }
 
@@ -65,12 +66,22 @@
 		balancer:     newBalancer(domain, clock, rand.New(rand.NewPCG(seed, 1))),
 		budget:       budget,
 		offers:       newOfferBudget(),
+		leaving:      leavingServers{clock: clock, since: map[ownership.HostID]leavingServer{}},
 		onUnanswered: onUnanswered,
 	}
 }
 
-// PruneServers deletes the statistics of servers that are not in the routes.
-func (r *Relay) PruneServers(routes Routes) { r.balancer.prune(routes) }
+// AvoidLeavingServers makes the relay send no calls to a server once usableTime has passed since it first stated in a
+// response, by the header of the given name, that it is leaving. It must be called before the first call.
+func (r *Relay) AvoidLeavingServers(header string, usableTime time.Duration) {
+	r.leaving.header, r.leaving.usableTime = header, usableTime
+}
+
+// PruneServers forgets what was learned about servers that are not in the routes.
+func (r *Relay) PruneServers(routes Routes) {
+	r.balancer.prune(routes)
+	r.leaving.prune(routes)
+}
 
 // callState is the state of one call across its attempts.
 type callState struct {
@@ -141,12 +152,20 @@
 	}
 	if route.IsKeyed && state.call.HasKey {
 		owner := route.owner(state.call.Key)
-		if owner != nil && state.isRefused(owner.Host, route.fence(state.call.Key)) {
+		isExcluded := owner != nil &&
+			(state.isRefused(owner.Host, route.fence(state.call.Key)) || !r.leaving.accepts(owner))
+		if isExcluded {
 			return nil
 		}
 		return owner
 	}
-	return r.balancer.pick(route, state.triedHosts)
+	for {
+		server := r.balancer.pick(route, state.triedHosts)
+		if server == nil || r.leaving.accepts(server) {
+			return server
+		}
+		state.triedHosts[server.Host] = true
+	}
 }
 
 // maxRefusals is how often a host may refuse a call for a key under one fence before it is not tried again.
@@ -191,6 +210,7 @@
 	start := r.clock.Now()
 	result := r.sender.Send(ctx, target, state.call)
 	endCall(result)
+	r.leaving.observe(target, result)
 	state.lastResult = result
 	state.triedHosts[target.Host] = true
 	wasSent := result.Outcome != class.NotRun || result.Reason == call.Refused || result.Reason == call.Shed
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -60,11 +60,13 @@
 
 	registrar *membership.Registrar
 	// registered is closed at the first registration.
-	registered        chan struct{}
-	registeredOnce    sync.Once
-	machine           *ownership.StateMachine
-	epoch             ownership.Epoch
-	server            serverState
+	registered     chan struct{}
+	registeredOnce sync.Once
+	machine        *ownership.StateMachine
+	epoch          ownership.Epoch
+	server         serverState
+	// leavingNotice is set by the goroutines of calls.
+	leavingNotice     atomic.Pointer[leavingNotice]
 	pendingHeartbeat  pendingHeartbeat
 	expectedHandovers map[ownership.HostID]ownership.Instant
 	gossip            gossipState
@@ -166,6 +168,7 @@
 // tick runs the periodic work that is due.
 func (c *control) tick(now ownership.Instant) {
 	c.runRegistrarEffects(now, c.registrar.Tick(now))
+	c.applyLeavingNotice(now)
 	c.checkServer(now)
 	c.measureLoad(now)
 	c.runOwnershipEffects(now, c.machine.Tick(now))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -75,7 +75,13 @@
 		admission.NewTargetPolicy(defaultConcurrency), defaultConcurrency, o.Clock)
 	admissionController.AwaitRateLimit()
 	d.runner = backend.NewRunner(admissionController, func() { d.control.probeServerSoon() }, o.Clock)
-	d.runner.ObserveNotices(d.observer.rateLimitChanged, func(err error) { d.observer.inputRejected("backend server", err) })
+	d.runner.ObserveNotices(backend.NoticeObserver{
+		RateLimitChanged: d.observer.rateLimitChanged,
+		Leaving: func(instance string, request class.RequestID) {
+			d.control.leavingNotice.Store(&leavingNotice{instance: instance, request: request})
+		},
+		Invalid: func(err error) { d.observer.inputRejected("backend server", err) },
+	})
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock)
 	table := caller.NewTable()
 	d.runner.WaitForKeys(func(key class.Key) (bool, <-chan struct{}) {
@@ -90,6 +96,7 @@
 	}, o.Clock)
 	relay := caller.NewRelay(s.FailureDomain, table, sender{self: s.Host, runner: d.runner, hops: d.hops}, budget,
 		d.observer.attemptFailed, o.Clock, seed)
+	relay.AvoidLeavingServers(platform.Headers().Leaving, usableDrainTime(s.Backend.DrainTime))
 	d.callerHandler = caller.NewHandler(relay, s.Service, platform.Headers(), d.observer.callFinished, o.Clock)
 	d.callerServer = newLimitedServer(d.callerHandler, d.observer.httpErrorLog("caller"))
 	d.control = newControl(d, o, table, relay, budget, seed)
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/backend"
+	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/platform"
@@ -37,7 +38,7 @@
 	// hasDeregistered reports whether the current instance has deregistered.
 	hasDeregistered bool
 	heartbeatAt     ownership.Instant
-	// usableUntil is the time until which a draining server gets new work.
+	// usableUntil is the time until which a server that is leaving gets new work. It is zero if the server is not leaving.
 	usableUntil ownership.Instant
 	warmupUntil ownership.Instant
 	nextProbeAt ownership.Instant
@@ -45,6 +46,9 @@
 	client      *backend.Client
 }
 
+// usableDrainTime returns how long a server gets new work after it began to drain.
+func usableDrainTime(drainTime time.Duration) time.Duration { return drainTime - drainMargin }
+
 func newServerState(s settings.Settings, now ownership.Instant) serverState {
 	return serverState{
 		address:           s.Backend.Address,
@@ -165,16 +169,14 @@
 		s.usableUntil = 0
 		c.replaceClient(heartbeat)
 	}
-	if heartbeat.IsDraining && !(s.heartbeat.IsDraining && !isNew) {
-		s.usableUntil = now.Add(s.drainTime - drainMargin)
-		c.log.Info("backend server is draining", "instance", heartbeat.Instance.String(),
-			"usable_ms", (s.drainTime - drainMargin).Milliseconds())
+	if heartbeat.IsDraining {
+		c.serverLeaves(now, heartbeat.Instance, "heartbeat")
 	}
 	s.heartbeat = heartbeat
 	s.heartbeatAt = now
 	s.warmupUntil = now.Add(heartbeat.WarmupLeft)
 	state := ownership.ServerReady
-	if heartbeat.IsDraining {
+	if s.usableUntil != 0 {
 		state = ownership.ServerDraining
 	}
 	c.setServer(now, state, "heartbeat")
@@ -184,6 +186,34 @@
 	return nil
 }
 
+// serverLeaves records that the server is leaving, unless that is known. It gets new work for a while.
+func (c *control) serverLeaves(now ownership.Instant, instance ownership.Instance, reason string) {
+	if c.server.usableUntil != 0 {
+		return
+	}
+	usable := usableDrainTime(c.server.drainTime)
+	c.server.usableUntil = now.Add(usable)
+	c.log.Info("backend server is draining", "instance", instance.String(), "reason", reason,
+		"usable_ms", usable.Milliseconds())
+}
+
+// leavingNotice reports that an instance of the server stated in the response to a request that it is leaving.
+type leavingNotice struct {
+	instance string
+	request  class.RequestID
+}
+
+// applyLeavingNotice applies a notice that the runner got since the last invocation.
+func (c *control) applyLeavingNotice(now ownership.Instant) {
+	notice := c.leavingNotice.Swap(nil)
+	s := &c.server
+	if notice == nil || notice.instance != s.heartbeat.Instance.ID || s.state == ownership.ServerEnded {
+		return
+	}
+	c.serverLeaves(now, s.heartbeat.Instance, "response to "+string(notice.request))
+	c.setServer(now, ownership.ServerDraining, "response")
+}
+
 // isKeyed reports whether the keys of this host's service are divided among its servers.
 func (c *control) isKeyed() bool { return c.config != nil && c.config.Services[c.service].IsKeyed }
 
@@ -230,9 +260,7 @@
 			"instance", s.heartbeat.Instance.String())
 		return
 	}
-	if !s.hasDeregistered && !s.heartbeat.IsDraining {
-		s.usableUntil = now.Add(s.drainTime - drainMargin)
-	}
+	c.serverLeaves(now, s.heartbeat.Instance, "deregistered")
 	s.hasDeregistered = true
 	c.setServer(now, ownership.ServerDraining, "deregistered")
 	c.updateDataPlane(now)
