--- a/daemon/control.go
+++ b/daemon/control.go
@@ -73,6 +73,7 @@
 	records           map[class.Service]*ownership.Record
 	config            *class.Config
 	loadMeter         loadMeter
+	usageMeter        usageMeter
 	permit            permitInputs
 	// isRecordReadDue is set while the ownership machine waits for a read of the record that has not been started. A
 	// service without keys has no record, so the read waits for the configuration.
@@ -174,6 +175,7 @@
 	c.runOwnershipEffects(now, c.machine.Tick(now))
 	c.gossipTick(now)
 	c.updateDataPlane(now)
+	c.reportUsage(now)
 }
 
 // updateDataPlane applies the control state to the data plane: routes, peers, the pending heartbeat and the permit.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -15,6 +15,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/onsi/gomega"
 
+	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 	"github.com/skylarkrelay/skylarkrelay/membership"
@@ -64,6 +66,29 @@
 	return d
 }
 
+// TestUsageShowsAttemptsAndProcessorTime checks that the log tells an overload by repeated attempts from one by control.
+func TestUsageShowsAttemptsAndProcessorTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	d := New(testSettings(), Options{Log: hclog.New(&hclog.LoggerOptions{Output: &out}), Clock: clockwork.NewFakeClock()})
+	finished := caller.FinishedCall{Result: call.NotRun(call.Overload)}
+	for range 3 {
+		d.observer.attemptFailed(caller.Attempt{Call: call.Call{Class: &class.Class{}}, Result: call.NotRun(call.Overload)})
+	}
+	d.observer.attemptFailed(caller.Attempt{Call: call.Call{Class: &class.Class{}}, Result: call.NotRun(call.NotOwner)})
+	d.observer.callFinished(finished)
+	now := ownership.Instant(time.Minute)
+	d.control.reportUsage(now)
+	g.Expect(out.String()).To(gomega.MatchRegexp(
+		`usage: interval_ms=60000 cpu_ms=\d+ calls=1 attempts_unanswered=4 attempts_rejected=3`))
+	out.Reset()
+	d.control.reportUsage(now.Add(usageInterval - 1))
+	g.Expect(out.String()).To(gomega.BeEmpty())
+	d.control.reportUsage(now.Add(usageInterval))
+	g.Expect(out.String()).To(gomega.ContainSubstring("interval_ms=5000"))
+	g.Expect(out.String()).To(gomega.ContainSubstring("calls=0 attempts_unanswered=0 attempts_rejected=0"))
+}
+
 // TestReloadAppliesEachLogLevel changes the log level and then sets it back to that of the start.
 func TestReloadAppliesEachLogLevel(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -102,7 +102,7 @@
 
 // attemptFailed records an attempt that was not answered.
 func (o *observer) attemptFailed(a caller.Attempt) {
-	o.counter("attempts." + a.Result.Reason.String()).inc()
+	o.counter(attemptsPrefix + a.Result.Reason.String()).inc()
 	if !o.allowLine() {
 		return
 	}
@@ -119,7 +119,7 @@
 		name = string(f.Call.Class.Name)
 	}
 	outcome := f.Result.Outcome.String()
-	o.counter("calls." + outcome).inc()
+	o.counter(callsPrefix + outcome).inc()
 	if f.Result.Outcome == class.Answered {
 		metrics.GetOrRegisterHistogram("latency_us."+name, o.registry, newSample()).Update(f.Duration.Microseconds())
 		if !o.log.IsDebug() {
