fix(placement): rejected calls count as load

Cause: load was the time that calls ran. Change: a rejected call counts with half of its expected run time, since its caller comes back; the demand is relative to the capacity that a limit leaves.

--- a/admission/baselines.go
+++ b/admission/baselines.go
@@ -149,3 +149,5 @@
 func (b *baselinePolicy) Backlog() time.Duration {
 	return time.Duration(b.Waiting()) * initialServiceTime
 }
+
+func (b *baselinePolicy) ServiceTime(class.Name) time.Duration { return initialServiceTime }
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -68,6 +68,7 @@
 type capacityAware interface {
 	SetConcurrency(concurrency int)
 	SetRateLimit(limit rate.Limit)
+	Capacity() float64
 }
 
 // NewController returns a controller for a server that runs the given number of calls at a time.
@@ -156,6 +157,23 @@
 	return &Ticket{controller: c, job: job, startedAt: c.clock.Now()}, nil
 }
 
+// ServiceTime returns the expected run time of a call of a class.
+func (c *Controller) ServiceTime(name class.Name) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.policy.ServiceTime(name)
+}
+
+// CapacityShare returns the share of the server's concurrency that its rate limit permits to use, one without a limit.
+func (c *Controller) CapacityShare() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.policy.(capacityAware); ok {
+		return p.Capacity() / float64(c.limit.Current())
+	}
+	return 1
+}
+
 func (c *Controller) offer(callClass *class.Class, deadline time.Time, admitted chan bool) (*Job, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -50,4 +50,6 @@
 	Waiting() int
 	// Backlog returns the expected total run time of the queued jobs.
 	Backlog() time.Duration
+	// ServiceTime returns the expected run time of a job of a class.
+	ServiceTime(name class.Name) time.Duration
 }
--- a/admission/target_policy.go
+++ b/admission/target_policy.go
@@ -336,6 +336,17 @@
 	return work
 }
 
+// ServiceTime implements Policy.
+func (t *TargetPolicy) ServiceTime(name class.Name) time.Duration {
+	if s := t.states[name]; s != nil {
+		return s.serviceTime
+	}
+	return initialServiceTime
+}
+
+// Capacity returns the mean number of jobs that the server can run at a time.
+func (t *TargetPolicy) Capacity() float64 { return t.capacity }
+
 // refillCredit adds the credit that each class's guarantee earned since the last call.
 func (t *TargetPolicy) refillCredit(now time.Time) {
 	elapsed := now.Sub(t.refilledAt)
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -68,9 +68,10 @@
 	mu sync.Mutex
 	// stated is what the server at the current client stated about itself.
 	stated notices
-	// runTimes and totalRunTime hold the run time of calls, by key and in total, since TakeRunTimes last reset them.
-	runTimes     map[class.Key]time.Duration
-	totalRunTime time.Duration
+	// demand and totalDemand hold the run time that calls asked for, by key and in total, since TakeDemand last reset
+	// them.
+	demand      map[class.Key]time.Duration
+	totalDemand time.Duration
 }
 
 // AssignmentCheck reports whether the ownership record assigns a key of this host's service to this host, and returns a
@@ -91,7 +92,7 @@
 		clock:         clock,
 		controller:    controller,
 		onUnreachable: onUnreachable,
-		runTimes:      map[class.Key]time.Duration{},
+		demand:        map[class.Key]time.Duration{},
 		stated:        newNotices(),
 		noticeObserver: NoticeObserver{
 			RateLimitChanged: func(RateLimitChange) {},
@@ -128,15 +129,40 @@
 // Running returns the number of calls that are running on the server.
 func (r *Runner) Running() int { return int(r.running.Load()) }
 
-// TakeRunTimes returns the run time of finished calls, by key and in total, since the last invocation.
-func (r *Runner) TakeRunTimes() (map[class.Key]time.Duration, time.Duration) {
+// rejectedWeight is the weight of the expected run time of a rejected call in the demand. Its caller is told to come back
+// and is then counted again.
+const rejectedWeight = 0.5
+
+// minCapacityShare bounds the demand of a server whose rate limit leaves it next to nothing. Without the bound, its load
+// would raise the mean of all servers so far that no other server counts as loaded.
+const minCapacityShare = 0.1
+
+// TakeDemand returns the run time that calls asked for since the last invocation, by key and in total: the run time of
+// those that ran, and a part of the expected run time of those that were rejected. What ran alone would show the
+// capacity of a server that is asked for more, and not that it is. If the server limits the rate of its calls, the
+// demand is in proportion to the capacity that the limit leaves.
+func (r *Runner) TakeDemand() (map[class.Key]time.Duration, time.Duration) {
+	share := max(minCapacityShare, r.controller.CapacityShare())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	byKey, total := r.runTimes, r.totalRunTime
-	r.runTimes, r.totalRunTime = map[class.Key]time.Duration{}, 0
+	byKey, total := r.demand, time.Duration(float64(r.totalDemand)/share)
+	for key := range byKey {
+		byKey[key] = time.Duration(float64(byKey[key]) / share)
+	}
+	r.demand, r.totalDemand = map[class.Key]time.Duration{}, 0
 	return byKey, total
 }
 
+// addDemand adds the run time that a call asked for.
+func (r *Runner) addDemand(c call.Call, runTime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.totalDemand += runTime
+	if c.HasKey {
+		r.demand[c.Key] += runTime
+	}
+}
+
 // Load returns the load of the server and of the admission queue before it.
 func (r *Runner) Load() call.Load {
 	state := r.controller.State()
@@ -181,6 +207,7 @@
 		}
 		result, isFinal := rejectionResult(ctx, err)
 		if isFinal {
+			r.recordRejection(c, err)
 			return result
 		}
 	}
@@ -238,6 +265,14 @@
 	}
 }
 
+// recordRejection adds a call that admission control rejected to the demand.
+func (r *Runner) recordRejection(c call.Call, err error) {
+	var rejected *admission.RejectedError
+	if errors.As(err, &rejected) && rejected.Reason != admission.Canceled {
+		r.addDemand(c, time.Duration(rejectedWeight*float64(r.controller.ServiceTime(c.Class.Name))))
+	}
+}
+
 // dispatch sends an admitted call to the server, unless the permit no longer allows it, and ends the ticket.
 func (r *Runner) dispatch(ctx context.Context, c call.Call, ticket *admission.Ticket) call.Result {
 	start := r.clock.Now()
@@ -255,13 +290,7 @@
 	if result.Reason == call.Unreachable {
 		r.onUnreachable()
 	}
-	elapsed := r.clock.Since(start)
-	r.mu.Lock()
-	r.totalRunTime += elapsed
-	if c.HasKey {
-		r.runTimes[c.Key] += elapsed
-	}
-	r.mu.Unlock()
+	r.addDemand(c, r.clock.Since(start))
 	switch {
 	case result.Reason == call.Shed:
 		ticket.Shed()
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -133,7 +133,8 @@
 	minKeyLoad = 0.0005
 )
 
-// loadMeter measures the load of the backend server, in total and by key: the average number of calls that run.
+// loadMeter measures the load of the backend server, in total and by key: the average number of calls that run, or would
+// run if none were rejected.
 type loadMeter struct {
 	intervalStart time.Time
 	load          float64
@@ -153,8 +154,8 @@
 		return
 	}
 	m.intervalStart = now
-	runTimes, totalRunTime := c.runner.TakeRunTimes()
-	m.load += loadSmoothing * (totalRunTime.Seconds()/elapsed.Seconds() - m.load)
+	demand, totalDemand := c.runner.TakeDemand()
+	m.load += loadSmoothing * (totalDemand.Seconds()/elapsed.Seconds() - m.load)
 	for key, load := range m.keys {
 		if load *= 1 - loadSmoothing; load < minKeyLoad {
 			delete(m.keys, key)
@@ -162,7 +163,7 @@
 			m.keys[key] = load
 		}
 	}
-	for key, runTime := range runTimes {
+	for key, runTime := range demand {
 		m.keys[key] += loadSmoothing * runTime.Seconds() / elapsed.Seconds()
 	}
 	c.machine.SetLoads(m.keys)
--- a/membership/host.go
+++ b/membership/host.go
@@ -36,7 +36,8 @@
 	// IsUsable reports that the backend server may get new work, and IsReady that it may also get keys.
 	IsUsable bool `json:"usable"`
 	IsReady  bool `json:"ready"`
-	// Concurrency is how many requests the backend server runs at a time, and Load how many are running on average.
+	// Concurrency is how many requests the backend server runs at a time. Load is how many are running on average, or
+	// would be if none were rejected.
 	Concurrency int     `json:"places"`
 	Load        float64 `json:"load"`
 	// WarmupMS is for how much longer the backend server is slow after its start.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -40,7 +40,7 @@
 	Keys int
 	// Spans is the number of separate spans of keys that the server owns or is about to own.
 	Spans int
-	// Load is the mean number of calls that run on the server at a time.
+	// Load is the mean number of calls that run on the server at a time, or would run if none were rejected.
 	Load float64
 }
 
@@ -94,7 +94,7 @@
 // LoadedSpan is a span of keys with the load on it.
 type LoadedSpan struct {
 	Span keyspace.Span
-	// Load is the mean number of calls for these keys that run at a time.
+	// Load is the mean number of calls for these keys that run at a time, or would run if none were rejected.
 	Load float64
 	// Neighbour is one more than the index of the server that owns the keys before these, or zero if there is none.
 	Neighbour int
