--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -89,6 +90,24 @@
 	g.Expect(out.String()).To(gomega.ContainSubstring("calls=0 attempts_unanswered=0 attempts_rejected=0"))
 }
 
+// TestFinishedCallsAllocateNoHistograms guards against a new sample of a histogram for each call.
+func TestFinishedCallsAllocateNoHistograms(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewFakeClock()})
+	finish := func() {
+		d.observer.callFinished(caller.FinishedCall{Result: call.Result{Outcome: class.Answered}, Duration: time.Millisecond})
+	}
+	const calls = 1000
+	finish()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range calls {
+		finish()
+	}
+	runtime.ReadMemStats(&after)
+	g.Expect((after.TotalAlloc-before.TotalAlloc)/calls).To(gomega.BeNumerically("<", 1024), "bytes for each call")
+}
+
 // TestReloadAppliesEachLogLevel changes the log level and then sets it back to that of the start.
 func TestReloadAppliesEachLogLevel(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -121,7 +121,7 @@
 	outcome := f.Result.Outcome.String()
 	o.counter(callsPrefix + outcome).inc()
 	if f.Result.Outcome == class.Answered {
-		metrics.GetOrRegisterHistogram("latency_us."+name, o.registry, newSample()).Update(f.Duration.Microseconds())
+		o.histogram("latency_us." + name).Update(f.Duration.Microseconds())
 		if !o.log.IsDebug() {
 			return
 		}
@@ -149,7 +149,12 @@
 	sampleAlpha = 0.015
 )
 
-func newSample() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleAlpha) }
+// histogram returns the histogram with a name. The sample, of several kilobytes, is allocated only for a new one.
+func (o *observer) histogram(name string) metrics.Histogram {
+	return o.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}).(metrics.Histogram)
+}
 
 // storeCalled records a call to the store.
 func (o *observer) storeCalled(name string, took time.Duration, err error) {
@@ -157,7 +162,7 @@
 	if err != nil {
 		o.counter("store.failed").inc()
 	}
-	metrics.GetOrRegisterHistogram("store.latency_us", o.registry, newSample()).Update(took.Microseconds())
+	o.histogram("store.latency_us").Update(took.Microseconds())
 }
 
 // configApplied records a new configuration.
