perf(daemon): routes are recomputed at most once in 25 ms

Change: the first change takes effect at once, further ones with a tick. TestRoutesAreUpdatedOnceForManyChanges failed before: 100 updates for 100 changes.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -23,6 +23,9 @@
 const (
 	// tickInterval is the interval at which the control goroutine checks for work that is due.
 	tickInterval = 25 * time.Millisecond
+	// minRouteInterval is the shortest interval between two updates of the routes. The first change after a pause takes
+	// effect at once.
+	minRouteInterval = tickInterval
 	// inboxCapacity bounds the number of work items queued for the control goroutine.
 	inboxCapacity = 1024
 )
@@ -79,10 +82,12 @@
 	// service without keys has no record, so the read waits for the configuration.
 	isRecordReadDue bool
 	// isDirty is set when the routes have to be recomputed.
-	isDirty        bool
-	isShuttingDown bool
-	isPulling      bool
-	peersUpdatedAt ownership.Instant
+	isDirty bool
+	// routesUpdatedAt is when the routes were last recomputed.
+	routesUpdatedAt ownership.Instant
+	isShuttingDown  bool
+	isPulling       bool
+	peersUpdatedAt  ownership.Instant
 }
 
 func newControl(
@@ -178,10 +183,14 @@
 	c.reportUsage(now)
 }
 
-// updateDataPlane applies the control state to the data plane: routes, peers, the pending heartbeat and the permit.
+// updateDataPlane applies the control state to the data plane: routes, peers, the pending heartbeat and the permit. Routes
+// are recomputed at most once in minRouteInterval, and otherwise by a later tick. When a whole mesh starts, each host changes
+// them several times.
 func (c *control) updateDataPlane(now ownership.Instant) {
-	if c.isDirty {
+	if c.isDirty && now.Sub(c.routesUpdatedAt) >= minRouteInterval {
 		c.isDirty = false
+		c.routesUpdatedAt = now
+		c.observer.counter("routes.updates").inc()
 		c.updateRoutes(now)
 	} else if now.Sub(c.peersUpdatedAt) > loadInterval {
 		c.updatePeers(now)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -399,6 +399,30 @@
 		class.Version(5)))
 }
 
+// TestRoutesAreUpdatedOnceForManyChanges guards against a mesh that starts and spends the processor time of its daemons on
+// routes that the next message changes again.
+func TestRoutesAreUpdatedOnceForManyChanges(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewFakeClock()})
+	c, now := d.control, ownership.Instant(time.Minute)
+	register := func(i int) {
+		host := ownership.HostID(fmt.Sprintf("h-%d", i))
+		c.roster.Register(membership.Presence{Host: host, HopAddress: string(host), Service: "s"}, membership.Version(i+1))
+		c.isDirty = true
+		c.updateDataPlane(now)
+	}
+	updates := func() int64 { return d.observer.counter("routes.updates").Count() }
+	for i := range 100 {
+		register(i)
+	}
+	g.Expect(updates()).To(gomega.BeEquivalentTo(1), "the first change takes effect at once")
+	now = now.Add(minRouteInterval)
+	c.updateDataPlane(now)
+	g.Expect(updates()).To(gomega.BeEquivalentTo(2))
+	route, _ := c.table.Lookup("s")
+	g.Expect(route.Servers).To(gomega.HaveLen(100))
+}
+
 // TestOnlyTheFirstHostsOfALargeDomainWatch checks a mesh of hundreds of hosts, in which announcements are several
 // seconds apart: only the first host of the failure domain watches the store, from the start on, and another one takes
 // over when it falls silent.
