--- a/ownership/machine_test.go
+++ b/ownership/machine_test.go
@@ -113,7 +113,7 @@
 		runtime.ReadMemStats(&after)
 		return float64(after.TotalAlloc - before.TotalAlloc)
 	}
-	g.Expect(bytesFor(128)/bytesFor(16)).To(gomega.BeNumerically("<", 1.5*128/16))
+	g.Expect(bytesFor(128) / bytesFor(16)).To(gomega.BeNumerically("<", 1.5*128/16))
 }
 
 // TestAnswersFitWhateverIsOwned gives a host more grants than fit into a heartbeat response, then fewer again. The
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -51,6 +52,8 @@
 			"lose":       forEachHost(func(h *deployment.Host) { h.KillDaemon() }),
 			"crash":      forEachHost(func(h *deployment.Host) { h.CrashServer() }),
 			"drain":      forEachHost(func(h *deployment.Host) { h.DrainServer() }),
+			"leave":      forEachHost(func(h *deployment.Host) { h.LeaveServer() }),
+			"limit":      limitServer,
 			"freeze":     forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGSTOP) }),
 			"thaw":       forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGCONT) }),
 			"reload":     forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGHUP) }),
@@ -130,6 +133,21 @@
 	}
 }
 
+// limitServer implements "limit RATE HOST...", which makes the hosts' backend servers state a rate limit, and "! limit
+// HOST...", which ends it.
+func limitServer(ts *testscript.TestScript, neg bool, args []string) {
+	perSecond := 0.0
+	if !neg {
+		var err error
+		perSecond, err = strconv.ParseFloat(args[0], 64)
+		ts.Check(err)
+		args = args[1:]
+	}
+	for _, h := range hostsByArgs(ts, args) {
+		h.LimitServer(perSecond)
+	}
+}
+
 // terminateDaemon stops daemons with SIGTERM, one after the other. Each has to exit within the stop timeout.
 func terminateDaemon(ts *testscript.TestScript, _ bool, args []string) {
 	for _, h := range hostsByArgs(ts, args) {
--- a/standin/deployment/host.go
+++ b/standin/deployment/host.go
@@ -123,6 +123,24 @@
 	}
 }
 
+// LimitServer makes the host's backend server, if one runs, state a rate limit in requests per second. Zero ends it.
+func (h *Host) LimitServer(perSecond float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.server != nil {
+		h.server.notices.setRateLimit(perSecond)
+	}
+}
+
+// LeaveServer makes the host's backend server, if one runs, state in its responses, and nowhere else, that it is leaving.
+func (h *Host) LeaveServer() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.server != nil {
+		h.server.notices.leave()
+	}
+}
+
 // Status returns the status that the host's daemon reports to operators.
 func (h *Host) Status(ctx context.Context) (operator.Status, error) {
 	return operator.NewClient(h.OperatorAddress()).Status(ctx)
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -54,6 +54,7 @@
 	checker           *InvariantChecker
 	headers           call.HeaderNames
 	slots             chan struct{}
+	notices           notices
 
 	mu    sync.Mutex
 	holds keyspace.Map[keyHold]
@@ -82,6 +83,7 @@
 	s.stop = cancel
 	s.done = make(chan struct{})
 	s.slots = make(chan struct{}, concurrency)
+	s.notices = notices{instance: s.instance, checker: s.checker}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: heartbeatTimeout}
 	go func() { _ = s.http.Serve(listener) }() // returns when crash closes the server
 	go s.heartbeatLoop(ctx)
@@ -272,6 +274,7 @@
 		s.reject(w, http.StatusMisdirectedRequest)
 		return
 	}
+	s.notices.state(id, header, s.headers)
 	if !s.acquireSlot(r) {
 		s.reject(w, http.StatusServiceUnavailable)
 		return
