fix(caller): a server that gives no Retry-After does not count as the soonest

Seen when reading the change: of two rejections the shorter Retry-After is passed on, and a missing one counted as zero, which callers get as a default of 0.1 s. TestUnknownRetryAfterIsNotTheShortest failed before: 0.1 s instead of 0.04 s.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -227,6 +227,16 @@
 	g.Expect(result.RetryAfter).To(gomega.Equal(49*time.Millisecond), "the sooner of the two")
 }
 
+// TestUnknownRetryAfterIsNotTheShortest checks that a server that does not say when it expects capacity does not make
+// callers return at once.
+func TestUnknownRetryAfterIsNotTheShortest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	known, unknown := call.NotRun(call.Overload), call.NotRun(call.Overload)
+	known.RetryAfter = 40 * time.Millisecond
+	w := serve(&scriptedSender{results: []call.Result{known, unknown}}, withPath("/r/1"))
+	g.Expect(w.Header().Get("Retry-After")).To(gomega.Equal("0.04"))
+}
+
 // crowdedSender rejects the calls to some servers and answers the others.
 type crowdedSender struct {
 	isCrowded func(ownership.HostID) bool
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -99,7 +99,7 @@
 	refusedFence ownership.Fence
 	refusals     int
 	// rejections is the number of servers whose admission control rejected the call, and retryAfter the shortest of the
-	// times after which they expect capacity.
+	// times after which they expect capacity, or zero if none of them said.
 	rejections int
 	retryAfter time.Duration
 	lastResult call.Result
@@ -191,7 +191,7 @@
 
 // recordRejection records a rejection by the admission control of a server.
 func (s *callState) recordRejection(retryAfter time.Duration) {
-	if s.rejections == 0 || retryAfter < s.retryAfter {
+	if retryAfter > 0 && (s.retryAfter == 0 || retryAfter < s.retryAfter) {
 		s.retryAfter = retryAfter
 	}
 	s.rejections++
