--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -15,7 +15,9 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/onsi/gomega"
+	"golang.org/x/time/rate"
 
+	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
@@ -90,6 +92,19 @@
 	g.Expect(out.String()).To(gomega.ContainSubstring("calls=0 attempts_unanswered=0 attempts_rejected=0"))
 }
 
+// TestChangesOfTheRateLimitAreLoggedWithinBounds covers a server that states another limit in each response.
+func TestChangesOfTheRateLimitAreLoggedWithinBounds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	d := New(testSettings(), Options{Log: hclog.New(&hclog.LoggerOptions{Output: &out}), Clock: clockwork.NewFakeClock()})
+	change := backend.RateLimitChange{Instance: "i", Before: rate.Inf, After: 22.5, Request: "id-1"}
+	for range 1000 {
+		d.observer.rateLimitChanged(change)
+	}
+	g.Expect(out.String()).To(gomega.ContainSubstring("instance=i before=none after=22.5 request=id-1"))
+	g.Expect(bytes.Count(out.Bytes(), []byte("\n"))).To(gomega.Equal(d.settings.Log.LinesPerSecond))
+}
+
 // TestFinishedCallsAllocateNoHistograms guards against a new sample of a histogram for each call.
 func TestFinishedCallsAllocateNoHistograms(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"log"
+	"strconv"
 	"sync"
 	"time"
 
@@ -172,15 +173,29 @@
 	o.events.Add(timeline.Event{Kind: timeline.Configuration, Name: "in_force"})
 }
 
-// rateLimitChanged records that the backend server changed its rate limit.
+// noRateLimit is the value of the gauge of the rate limit if there is none.
+const noRateLimit = -1
+
+// rateLimitChanged records that the backend server changed its rate limit. A server that states another limit in each
+// response is logged as often as the lines about requests permit.
 func (o *observer) rateLimitChanged(change backend.RateLimitChange) {
-	perSecond := 0.0 // no limit
-	if change.After != rate.Inf {
-		perSecond = float64(change.After)
+	perSecond := float64(change.After)
+	if change.After == rate.Inf {
+		perSecond = noRateLimit
 	}
 	metrics.GetOrRegisterGaugeFloat64("backend.rate_limit_per_s", o.registry).Update(perSecond)
-	o.log.Info("rate limit of the backend server", "instance", change.Instance, "before", float64(change.Before),
-		"after", float64(change.After), "request", change.Request)
+	if !o.allowLine() {
+		return
+	}
+	o.log.Info("rate limit of the backend server", "instance", change.Instance,
+		"before", formatRateLimit(change.Before), "after", formatRateLimit(change.After), "request", change.Request)
+}
+
+func formatRateLimit(limit rate.Limit) string {
+	if limit == rate.Inf {
+		return "none"
+	}
+	return strconv.FormatFloat(float64(limit), 'f', -1, 64)
 }
 
 // ownershipEvent records a decision about the ownership of keys.
