fix(admission): a rate limit of zero gives a finite Retry-After

Seen when reading the change: the wait was divided by the capacity that the limit leaves. A policy that is told a limit of zero gave minus 292 years. The controller never passes less than one call each four seconds, so no caller saw it. TestRetryAfterIsFiniteWhateverTheRateLimit failed before.

--- a/admission/target_policy.go
+++ b/admission/target_policy.go
@@ -41,6 +41,8 @@
 	// maxOutlierFactor bounds the run time with which one job enters the average, in multiples of the learned service
 	// time.
 	maxOutlierFactor = 4
+	// minCapacity is the least capacity, in concurrent jobs, that a rate limit leaves. Waits are divided by it.
+	minCapacity = 0.001
 	// initialServiceTime is the service time assumed until the first job of a class has ended.
 	initialServiceTime = 5 * time.Millisecond
 )
@@ -113,7 +115,8 @@
 func (t *TargetPolicy) setCapacity() {
 	t.capacity = float64(t.concurrency)
 	if t.rateLimit != rate.Inf {
-		t.capacity = min(t.capacity, float64(t.rateLimit)*t.meanServiceTime().Seconds())
+		permitted := float64(t.rateLimit) * t.meanServiceTime().Seconds()
+		t.capacity = min(t.capacity, max(minCapacity, permitted))
 	}
 }
 
--- a/admission/target_policy_test.go
+++ b/admission/target_policy_test.go
@@ -50,6 +50,27 @@
 	}
 }
 
+// TestRetryAfterIsFiniteWhateverTheRateLimit covers a server that accepts no calls at all.
+func TestRetryAfterIsFiniteWhateverTheRateLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	policy := admission.NewTargetPolicy(2)
+	policy.SetClasses(start, []class.Class{urgentClass()})
+	now, id := start, uint64(0)
+	policy.SetRateLimit(0)
+	rejected := 0
+	for range 3000 {
+		id++
+		now = now.Add(time.Millisecond)
+		job := &admission.Job{ID: id, Class: "hallmark-query", Arrived: now, Deadline: now.Add(2 * time.Second)}
+		if !policy.Offer(now, job) {
+			rejected++
+			g.Expect(job.RetryAfter).To(gomega.BeNumerically(">=", 0))
+			g.Expect(job.RetryAfter).To(gomega.BeNumerically("<", time.Hour))
+		}
+	}
+	g.Expect(rejected).To(gomega.BeNumerically(">", 0))
+}
+
 // TestClassThatReturnsIsServed covers a class that was removed from the configuration and is added again unchanged.
 func TestClassThatReturnsIsServed(t *testing.T) {
 	g := gomega.NewWithT(t)
