--- a/ownership/explore_test.go
+++ b/ownership/explore_test.go
@@ -20,9 +20,9 @@
 // mutationWalks is the maximum number of walks in which the exploration must detect a mutation.
 var mutationWalks = flag.Int("explore.flaw_walks", 4000, "walks in which each mutation must be detected")
 
-// explore runs walks on all processors until one fails. It returns the number of the first failed walk, or -1, with the
+// explore plays walks on all processors until one fails. It returns the number of the first failed walk, or -1, with the
 // reason of the failure.
-func explore(count int, m mutation) (failedWalk int, reason string, takeovers, moves int64) {
+func explore(count int, m mutation, play func(*simulation)) (failedWalk int, reason string, takeovers, moves int64) {
 	var next, tookOver, moved atomic.Int64
 	var mu sync.Mutex
 	failedWalk = -1
@@ -38,7 +38,7 @@
 					return
 				}
 				sim := newSimulation(uint64(walk), m)
-				sim.run()
+				play(sim)
 				tookOver.Add(int64(sim.takeovers))
 				moved.Add(int64(sim.moves))
 				if sim.failure == "" {
@@ -58,7 +58,7 @@
 
 func TestExplorationFindsNoSecondOwner(t *testing.T) {
 	g := gomega.NewWithT(t)
-	failedWalk, reason, takeovers, moves := explore(*walkCount, noMutation)
+	failedWalk, reason, takeovers, moves := explore(*walkCount, noMutation, (*simulation).run)
 	t.Logf("%d walks, %d takeovers, %d moves", *walkCount, takeovers, moves)
 	g.Expect(failedWalk).To(gomega.Equal(-1), fmt.Sprintf("walk %d: %s", failedWalk, reason))
 	g.Expect(takeovers).To(gomega.BeNumerically(">", 0))
@@ -72,7 +72,7 @@
 	for m := noMutation + 1; m < mutationCount; m++ {
 		t.Run(mutationNames[m], func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			failedWalk, reason, _, _ := explore(*mutationWalks, m)
+			failedWalk, reason, _, _ := explore(*mutationWalks, m, (*simulation).run)
 			t.Logf("walk %d: %s", failedWalk, reason)
 			g.Expect(failedWalk).To(gomega.BeNumerically(">=", 0), "the mutation was not detected")
 		})
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -209,13 +209,12 @@
 	return 1 - clockSkew + 2*clockSkew*sim.random.Float64()
 }
 
-// run runs the simulation until its end or the first violation of an invariant.
-func (sim *simulation) run() {
-	for len(sim.queue) > 0 && sim.failure == "" {
+// run runs the simulation, with faults, until its end or the first violation of an invariant.
+func (sim *simulation) run() { sim.runUntil(simDuration) }
+
+func (sim *simulation) runUntil(end time.Duration) {
+	for len(sim.queue) > 0 && sim.failure == "" && sim.queue[0].at <= end {
 		next := heap.Pop(&sim.queue).(scheduledEvent)
-		if next.at > simDuration {
-			return
-		}
 		if next.at > sim.now {
 			sim.clock.Advance(next.at - sim.now)
 			sim.now = next.at
