--- a/backend/demand_test.go
+++ b/backend/demand_test.go
@@ -2,62 +2,65 @@
 
 import (
 	"context"
-	"net/http"
-	"strconv"
-	"sync"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/onsi/gomega"
 
+	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
 )
 
-// serveSlowly answers after a service time of 20 ms.
-func serveSlowly(s *limitedServer) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(20 * time.Millisecond)
-		s.serve(w, r)
-	}
+// rejectingPolicy rejects all jobs of a server whose rate limit leaves a share of its concurrency.
+type rejectingPolicy struct {
+	*admission.TargetPolicy
+	share       float64
+	concurrency int
 }
 
-// press makes urgent calls on many goroutines, more than two at a time can serve, and returns the demand in concurrent
-// calls of the second half of the given time.
-func press(r *backend.Runner, d time.Duration) float64 {
-	start := time.Now()
-	var callers sync.WaitGroup
-	for n := range 16 {
-		callers.Go(func() {
-			for i := 0; time.Since(start) < d; i++ {
-				c := newCall(100 * time.Millisecond)
-				c.Class = &class.Class{Name: "urgent", Latency: 60 * time.Millisecond}
-				c.ID = class.RequestID("id-" + strconv.Itoa(n) + "-" + strconv.Itoa(i))
-				c.Header.Set(headerNames.RequestID, string(c.ID))
-				result := r.Run(context.Background(), c)
-				time.Sleep(result.RetryAfter)
-			}
-		})
-	}
-	time.Sleep(d / 2)
-	r.TakeDemand()
-	began := time.Now()
-	time.Sleep(d/2 - 20*time.Millisecond)
-	_, total := r.TakeDemand()
-	demand := total.Seconds() / time.Since(began).Seconds()
-	callers.Wait()
-	return demand
-}
+const rejectedServiceTime = 40 * time.Millisecond
+
+func (p *rejectingPolicy) Offer(time.Time, *admission.Job) bool { return false }
+func (p *rejectingPolicy) ServiceTime(class.Name) time.Duration { return rejectedServiceTime }
+func (p *rejectingPolicy) Capacity() float64                    { return p.share * float64(p.concurrency) }
 
 // TestRejectedCallsCountAsDemand guards against a server that is asked for more than it can do looking like one that is
 // just busy, so that no keys move away from it.
 func TestRejectedCallsCountAsDemand(t *testing.T) {
-	for name, limit := range map[string]string{"by concurrency": "", "by a rate limit": "20"} {
+	const calls, concurrency = 10, 2
+	// The caller of a rejected call comes back, so half of its run time counts.
+	const unlimited = calls * rejectedServiceTime / 2
+	for name, c := range map[string]struct {
+		share  float64
+		demand time.Duration
+	}{
+		"by concurrency":          {share: 1, demand: unlimited},
+		"by a rate limit":         {share: 0.25, demand: 4 * unlimited},
+		"by a rate limit of zero": {share: 0, demand: 10 * unlimited},
+	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			r, _ := newRunner(startServer(t, serveSlowly(newLimitedServer(limit))), unchanged)
-			const concurrency = 2
-			g.Expect(press(r, 3*time.Second)).To(gomega.BeNumerically(">", 1.3*concurrency))
+			clock := clockwork.NewFakeClock()
+			policy := &rejectingPolicy{
+				TargetPolicy: admission.NewTargetPolicy(concurrency), share: c.share, concurrency: concurrency,
+			}
+			r := backend.NewRunner(admission.NewController(policy, concurrency, clock), func() {}, clock)
+			permit := backend.Permit{IsUsable: true, IsKeyed: true, KeysValidUntil: clock.Now().Add(time.Minute)}
+			permit.Keys.Set(keyspace.All(), true)
+			r.SetPermit(permit, backend.NewClient("unused", concurrency, headerNames, func() {}, clock))
+			for range calls {
+				call := newCall(time.Second)
+				call.Deadline = clock.Now().Add(time.Second)
+				r.Run(context.Background(), call)
+			}
+			byKey, total := r.TakeDemand()
+			g.Expect(total).To(gomega.Equal(c.demand))
+			g.Expect(byKey).To(gomega.Equal(map[class.Key]time.Duration{7: c.demand}))
+			_, total = r.TakeDemand()
+			g.Expect(total).To(gomega.BeZero())
 		})
 	}
 }
