--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -74,13 +74,18 @@
 	}
 }
 
+// newRelay returns a relay whose attempts go to a sender, and the table of its routes.
+func newRelay(s caller.Sender, routes caller.Routes, clock clockwork.Clock) (*caller.Relay, *caller.Table) {
+	table := caller.NewTable()
+	table.Set(routes)
+	budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
+	return caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1), table
+}
+
 // newHandler returns a handler whose attempts go to a sender.
 func newHandler(s caller.Sender) *caller.Handler {
 	clock := clockwork.NewRealClock()
-	table := caller.NewTable()
-	table.Set(newRoutes())
-	budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
-	relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
+	relay, _ := newRelay(s, newRoutes(), clock)
 	handler := caller.NewHandler(relay, "own", call.DefaultHeaderNames(), func(caller.FinishedCall) {}, clock)
 	handler.SetConfig(&class.Config{
 		Version:  1,
@@ -203,186 +208,6 @@
 	g.Expect(w.Header().Get("Retry-After")).To(gomega.Equal("0.045"))
 }
 
-// TestOverloadedServiceIsOfferedACallTwiceAtMost guards against rejected calls taking the processor time of the daemons
-// from the calls that are served.
-func TestOverloadedServiceIsOfferedACallTwiceAtMost(t *testing.T) {
-	g := gomega.NewWithT(t)
-	clock := clockwork.NewRealClock()
-	var servers []caller.Server
-	s := &scriptedSender{}
-	for i := range 16 {
-		servers = append(servers, caller.Server{Host: ownership.HostID(rune('a' + i)), IsUsable: true, Concurrency: 2})
-		rejected := call.NotRun(call.Overload)
-		rejected.RetryAfter = time.Duration(50-i) * time.Millisecond
-		s.results = append(s.results, rejected)
-	}
-	table := caller.NewTable()
-	table.Set(caller.Routes{"free": caller.NewServiceRoute(false, servers, nil)})
-	budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
-	relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
-	result := relay.Do(context.Background(),
-		call.Call{Service: "free", Class: &classes[0], Deadline: clock.Now().Add(time.Second)})
-	g.Expect(result.Outcome).To(gomega.Equal(class.NotRun))
-	g.Expect(s.hosts).To(gomega.HaveLen(2))
-	g.Expect(result.RetryAfter).To(gomega.Equal(49*time.Millisecond), "the sooner of the two")
-}
-
-// TestUnknownRetryAfterIsNotTheShortest checks that a server that does not say when it expects capacity does not make
-// callers return at once.
-func TestUnknownRetryAfterIsNotTheShortest(t *testing.T) {
-	g := gomega.NewWithT(t)
-	known, unknown := call.NotRun(call.Overload), call.NotRun(call.Overload)
-	known.RetryAfter = 40 * time.Millisecond
-	w := serve(&scriptedSender{results: []call.Result{known, unknown}}, withPath("/r/1"))
-	g.Expect(w.Header().Get("Retry-After")).To(gomega.Equal("0.04"))
-}
-
-// crowdedSender rejects the calls to some servers and answers the others.
-type crowdedSender struct {
-	isCrowded func(ownership.HostID) bool
-	offers    int
-}
-
-func (s *crowdedSender) Send(_ context.Context, to *caller.Server, _ call.Call) call.Result {
-	s.offers++
-	if !s.isCrowded(to.Host) {
-		return answered(200)
-	}
-	return call.NotRun(call.Overload)
-}
-
-// TestOverloadedServiceIsOfferedCallsOnce guards against rejected calls taking the processor time of the daemons from the
-// calls that are served.
-func TestOverloadedServiceIsOfferedCallsOnce(t *testing.T) {
-	const calls = 200
-	for name, c := range map[string]struct {
-		crowded   int
-		maxOffers int
-		answered  int
-	}{
-		"all of 16 servers": {crowded: 16, maxOffers: calls * 11 / 10},
-		"one of 16 servers": {crowded: 1, maxOffers: calls * 12 / 10, answered: calls},
-		"half of them":      {crowded: 8, maxOffers: calls * 3 / 2, answered: calls / 2},
-	} {
-		t.Run(name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			clock := clockwork.NewRealClock()
-			var servers []caller.Server
-			for i := range 16 {
-				servers = append(servers, caller.Server{Host: ownership.HostID(rune('a' + i)), IsUsable: true, Concurrency: 2})
-			}
-			table := caller.NewTable()
-			table.Set(caller.Routes{"free": caller.NewServiceRoute(false, servers, nil)})
-			s := &crowdedSender{isCrowded: func(h ownership.HostID) bool { return int(h[0]-'a') < c.crowded }}
-			budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
-			relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
-			answered := 0
-			for range calls {
-				result := relay.Do(context.Background(),
-					call.Call{Service: "free", Class: &classes[0], Deadline: clock.Now().Add(time.Second)})
-				if result.Outcome == class.Answered {
-					answered++
-				}
-			}
-			g.Expect(s.offers).To(gomega.BeNumerically("<=", c.maxOffers))
-			g.Expect(answered).To(gomega.BeNumerically(">=", c.answered))
-		})
-	}
-}
-
-// TestCallsGoWhereTheRateLimitLeavesRoom checks that calls avoid a server that has free capacity and accepts no more calls
-// for a while.
-func TestCallsGoWhereTheRateLimitLeavesRoom(t *testing.T) {
-	g := gomega.NewWithT(t)
-	clock := clockwork.NewRealClock()
-	table := caller.NewTable()
-	table.Set(newRoutes())
-	s := &limitedSender{limited: "a"}
-	budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
-	relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
-	for range 50 {
-		relay.Do(context.Background(),
-			call.Call{Service: "free", Class: &classes[0], Deadline: clock.Now().Add(time.Second)})
-	}
-	g.Expect(s.sentToLimited).To(gomega.BeNumerically("<=", 2), "of 50 calls")
-}
-
-// limitedSender answers all calls. One of the servers reports that it accepts no more calls for a while.
-type limitedSender struct {
-	limited       ownership.HostID
-	sentToLimited int
-}
-
-func (s *limitedSender) Send(_ context.Context, to *caller.Server, _ call.Call) call.Result {
-	result := answered(200)
-	result.Load = &call.Load{Concurrency: 2}
-	if to.Host == s.limited {
-		s.sentToLimited++
-		result.Load.RateDelay = 200 * time.Millisecond
-	}
-	return result
-}
-
-// leavingSender answers all calls. One of the servers states that it is leaving.
-type leavingSender struct {
-	leaving ownership.HostID
-	header  string
-	hosts   []ownership.HostID
-}
-
-func (s *leavingSender) Send(_ context.Context, to *caller.Server, _ call.Call) call.Result {
-	s.hosts = append(s.hosts, to.Host)
-	result := answered(200)
-	result.Header = http.Header{}
-	if to.Host == s.leaving {
-		result.Header.Set(s.header, call.LeavingValue)
-	}
-	return result
-}
-
-// TestLeavingServerGetsNoCallsAfterItsDrainTime guards against calls to a server that is leaving if the daemon beside it
-// has forgotten that.
-func TestLeavingServerGetsNoCallsAfterItsDrainTime(t *testing.T) {
-	for name, c := range map[string]call.Call{
-		"without a key": {Service: "free", Class: &classes[0]},
-		"with a key":    {Service: "keyed", Class: &classes[2], Key: 7, HasKey: true},
-	} {
-		t.Run(name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			clock := clockwork.NewFakeClock()
-			table := caller.NewTable()
-			routes := newRoutes()
-			table.Set(routes)
-			s := &leavingSender{leaving: "a", header: call.DefaultHeaderNames().Leaving}
-			budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
-			relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
-			relay.AvoidLeavingServers(s.header, time.Second)
-			send := func() {
-				for range 20 {
-					c.Deadline = clock.Now() // a call that has to wait for another owner does not
-					relay.Do(context.Background(), c)
-				}
-			}
-			send()
-			g.Expect(s.hosts).To(gomega.ContainElement(ownership.HostID("a")))
-			clock.Advance(time.Second)
-			s.hosts = nil
-			send()
-			g.Expect(s.hosts).NotTo(gomega.ContainElement(ownership.HostID("a")))
-			// A new instance on the same host is not leaving.
-			s.leaving = ""
-			for service, route := range routes {
-				next := append([]caller.Server(nil), route.Servers...)
-				next[0].Instance.ID = "next"
-				routes[service] = caller.NewServiceRoute(route.IsKeyed, next, route.Record)
-			}
-			table.Set(routes)
-			send()
-			g.Expect(s.hosts).To(gomega.ContainElement(ownership.HostID("a")))
-		})
-	}
-}
-
 // TestKeyWithoutUsableOwner checks that a call for a key without a usable owner is rejected well before its deadline,
 // so that the caller has time to retry.
 func TestKeyWithoutUsableOwner(t *testing.T) {
