--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -15,11 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/onsi/gomega"
-	"golang.org/x/time/rate"
 
-	"github.com/skylarkrelay/skylarkrelay/backend"
-	"github.com/skylarkrelay/skylarkrelay/call"
-	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 	"github.com/skylarkrelay/skylarkrelay/membership"
@@ -69,60 +64,6 @@
 	return d
 }
 
-// TestUsageShowsAttemptsAndProcessorTime checks that the log tells an overload by repeated attempts from one by control.
-func TestUsageShowsAttemptsAndProcessorTime(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var out bytes.Buffer
-	d := New(testSettings(), Options{Log: hclog.New(&hclog.LoggerOptions{Output: &out}), Clock: clockwork.NewFakeClock()})
-	finished := caller.FinishedCall{Result: call.NotRun(call.Overload)}
-	for range 3 {
-		d.observer.attemptFailed(caller.Attempt{Call: call.Call{Class: &class.Class{}}, Result: call.NotRun(call.Overload)})
-	}
-	d.observer.attemptFailed(caller.Attempt{Call: call.Call{Class: &class.Class{}}, Result: call.NotRun(call.NotOwner)})
-	d.observer.callFinished(finished)
-	now := ownership.Instant(time.Minute)
-	d.control.reportUsage(now)
-	g.Expect(out.String()).To(gomega.MatchRegexp(
-		`usage: interval_ms=60000 cpu_ms=\d+ calls=1 attempts_unanswered=4 attempts_rejected=3`))
-	out.Reset()
-	d.control.reportUsage(now.Add(usageInterval - 1))
-	g.Expect(out.String()).To(gomega.BeEmpty())
-	d.control.reportUsage(now.Add(usageInterval))
-	g.Expect(out.String()).To(gomega.ContainSubstring("interval_ms=5000"))
-	g.Expect(out.String()).To(gomega.ContainSubstring("calls=0 attempts_unanswered=0 attempts_rejected=0"))
-}
-
-// TestChangesOfTheRateLimitAreLoggedWithinBounds covers a server that states another limit in each response.
-func TestChangesOfTheRateLimitAreLoggedWithinBounds(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var out bytes.Buffer
-	d := New(testSettings(), Options{Log: hclog.New(&hclog.LoggerOptions{Output: &out}), Clock: clockwork.NewFakeClock()})
-	change := backend.RateLimitChange{Instance: "i", Before: rate.Inf, After: 22.5, Request: "id-1"}
-	for range 1000 {
-		d.observer.rateLimitChanged(change)
-	}
-	g.Expect(out.String()).To(gomega.ContainSubstring("instance=i before=none after=22.5 request=id-1"))
-	g.Expect(bytes.Count(out.Bytes(), []byte("\n"))).To(gomega.Equal(d.settings.Log.LinesPerSecond))
-}
-
-// TestFinishedCallsAllocateNoHistograms guards against a new sample of a histogram for each call.
-func TestFinishedCallsAllocateNoHistograms(t *testing.T) {
-	g := gomega.NewWithT(t)
-	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewFakeClock()})
-	finish := func() {
-		d.observer.callFinished(caller.FinishedCall{Result: call.Result{Outcome: class.Answered}, Duration: time.Millisecond})
-	}
-	const calls = 1000
-	finish()
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	for range calls {
-		finish()
-	}
-	runtime.ReadMemStats(&after)
-	g.Expect((after.TotalAlloc-before.TotalAlloc)/calls).To(gomega.BeNumerically("<", 1024), "bytes for each call")
-}
-
 // TestReloadAppliesEachLogLevel changes the log level and then sets it back to that of the start.
 func TestReloadAppliesEachLogLevel(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -255,77 +196,6 @@
 }
 
 // TestNewLimitsApplyToNewConnections checks that a connection keeps its limits when they change.
-// TestServerThatStatesItsLeavingGetsNoWorkAfterItsDrainTime guards against calls to a server that left without a heartbeat
-// that says so, and against a heartbeat from before that makes it ready again.
-func TestServerThatStatesItsLeavingGetsNoWorkAfterItsDrainTime(t *testing.T) {
-	g := gomega.NewWithT(t)
-	d := newDaemon(t, store.NewMemory(clockwork.NewRealClock()))
-	instance := ownership.Instance{ID: "i", Born: 5}
-	beat := func(sequence uint64, instance ownership.Instance) {
-		_, err := heartbeatHandler{d.control}.Heartbeat(context.Background(), ownership.Heartbeat{
-			Instance: instance, Address: "127.0.0.1:2", Service: "s", Concurrency: 2, Sequence: sequence,
-		})
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-	}
-	// inspect ticks at the given time after now and returns the server's state and whether it may get work.
-	inspect := func(after time.Duration) (state ownership.ServerState, isUsable bool) {
-		done := make(chan struct{})
-		d.control.post(context.Background(), func(now ownership.Instant) {
-			d.control.applyLeavingNotice(now)
-			d.control.updatePermit(now.Add(after))
-			state, isUsable = d.control.server.state, d.control.permit.isUsable
-			close(done)
-		})
-		<-done
-		return state, isUsable
-	}
-	beat(1, instance)
-	d.control.leavingNotice.Store(&leavingNotice{instance: "another", request: "id-1"})
-	state, _ := inspect(0)
-	g.Expect(state).To(gomega.Equal(ownership.ServerReady))
-	d.control.leavingNotice.Store(&leavingNotice{instance: "i", request: "id-1"})
-	state, isUsable := inspect(0)
-	g.Expect(state).To(gomega.Equal(ownership.ServerDraining))
-	g.Expect(isUsable).To(gomega.BeTrue())
-	beat(2, instance)
-	state, isUsable = inspect(d.settings.Backend.DrainTime)
-	g.Expect(state).To(gomega.Equal(ownership.ServerDraining))
-	g.Expect(isUsable).To(gomega.BeFalse())
-	beat(1, ownership.Instance{ID: "next", Born: 6})
-	state, _ = inspect(0)
-	g.Expect(state).To(gomega.Equal(ownership.ServerReady))
-}
-
-// TestDelayedHeartbeatAfterARestartYieldsToTheRunningServer covers a daemon that has restarted and gets a delayed heartbeat
-// of a server that has ended before the first one of the server that runs. The daemon knows no better for a moment, and its
-// calls name the instance that has ended, which the running server rejects; from the next heartbeat on it calls the server
-// that runs, and a further delayed heartbeat changes nothing.
-func TestDelayedHeartbeatAfterARestartYieldsToTheRunningServer(t *testing.T) {
-	g := gomega.NewWithT(t)
-	d := newDaemon(t, store.NewMemory(clockwork.NewRealClock()))
-	ended, running := ownership.Instance{ID: "i", Born: 4}, ownership.Instance{ID: "i", Born: 5}
-	beat := func(instance ownership.Instance, sequence uint64) error {
-		_, err := heartbeatHandler{d.control}.Heartbeat(context.Background(), ownership.Heartbeat{
-			Instance: instance, Address: "127.0.0.1:2", Service: "s", Concurrency: 2, Sequence: sequence,
-		})
-		return err
-	}
-	current := func() ownership.Instance {
-		instances := make(chan ownership.Instance, 1)
-		d.control.post(context.Background(), func(now ownership.Instant) {
-			d.control.updatePermit(now)
-			instances <- d.control.permit.instance
-		})
-		return <-instances
-	}
-	g.Expect(beat(ended, 90)).To(gomega.Succeed())
-	g.Expect(current()).To(gomega.Equal(ended))
-	g.Expect(beat(running, 1)).To(gomega.Succeed())
-	g.Expect(current()).To(gomega.Equal(running))
-	g.Expect(beat(ended, 91)).To(gomega.BeAssignableToTypeOf(&ownership.StaleHeartbeatError{}))
-	g.Expect(current()).To(gomega.Equal(running))
-}
-
 func TestNewLimitsApplyToNewConnections(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewRealClock()})
--- /dev/null
+++ b/daemon/server_test.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/onsi/gomega"
+
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/store"
+)
+
+// TestServerThatStatesItsLeavingGetsNoWorkAfterItsDrainTime guards against calls to a server that left without a heartbeat
+// that says so, and against a heartbeat from before that makes it ready again.
+func TestServerThatStatesItsLeavingGetsNoWorkAfterItsDrainTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDaemon(t, store.NewMemory(clockwork.NewRealClock()))
+	instance := ownership.Instance{ID: "i", Born: 5}
+	beat := func(sequence uint64, instance ownership.Instance) {
+		_, err := heartbeatHandler{d.control}.Heartbeat(context.Background(), ownership.Heartbeat{
+			Instance: instance, Address: "127.0.0.1:2", Service: "s", Concurrency: 2, Sequence: sequence,
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	// inspect ticks at the given time after now and returns the server's state and whether it may get work.
+	inspect := func(after time.Duration) (state ownership.ServerState, isUsable bool) {
+		done := make(chan struct{})
+		d.control.post(context.Background(), func(now ownership.Instant) {
+			d.control.applyLeavingNotice(now)
+			d.control.updatePermit(now.Add(after))
+			state, isUsable = d.control.server.state, d.control.permit.isUsable
+			close(done)
+		})
+		<-done
+		return state, isUsable
+	}
+	beat(1, instance)
+	d.control.leavingNotice.Store(&leavingNotice{instance: "another", request: "id-1"})
+	state, _ := inspect(0)
+	g.Expect(state).To(gomega.Equal(ownership.ServerReady))
+	d.control.leavingNotice.Store(&leavingNotice{instance: "i", request: "id-1"})
+	state, isUsable := inspect(0)
+	g.Expect(state).To(gomega.Equal(ownership.ServerDraining))
+	g.Expect(isUsable).To(gomega.BeTrue())
+	beat(2, instance)
+	state, isUsable = inspect(d.settings.Backend.DrainTime)
+	g.Expect(state).To(gomega.Equal(ownership.ServerDraining))
+	g.Expect(isUsable).To(gomega.BeFalse())
+	beat(1, ownership.Instance{ID: "next", Born: 6})
+	state, _ = inspect(0)
+	g.Expect(state).To(gomega.Equal(ownership.ServerReady))
+}
+
+// TestDelayedHeartbeatAfterARestartYieldsToTheRunningServer covers a daemon that has restarted and gets a delayed heartbeat
+// of a server that has ended before the first one of the server that runs. The daemon knows no better for a moment, and its
+// calls name the instance that has ended, which the running server rejects; from the next heartbeat on it calls the server
+// that runs, and a further delayed heartbeat changes nothing.
+func TestDelayedHeartbeatAfterARestartYieldsToTheRunningServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDaemon(t, store.NewMemory(clockwork.NewRealClock()))
+	ended, running := ownership.Instance{ID: "i", Born: 4}, ownership.Instance{ID: "i", Born: 5}
+	beat := func(instance ownership.Instance, sequence uint64) error {
+		_, err := heartbeatHandler{d.control}.Heartbeat(context.Background(), ownership.Heartbeat{
+			Instance: instance, Address: "127.0.0.1:2", Service: "s", Concurrency: 2, Sequence: sequence,
+		})
+		return err
+	}
+	current := func() ownership.Instance {
+		instances := make(chan ownership.Instance, 1)
+		d.control.post(context.Background(), func(now ownership.Instant) {
+			d.control.updatePermit(now)
+			instances <- d.control.permit.instance
+		})
+		return <-instances
+	}
+	g.Expect(beat(ended, 90)).To(gomega.Succeed())
+	g.Expect(current()).To(gomega.Equal(ended))
+	g.Expect(beat(running, 1)).To(gomega.Succeed())
+	g.Expect(current()).To(gomega.Equal(running))
+	g.Expect(beat(ended, 91)).To(gomega.BeAssignableToTypeOf(&ownership.StaleHeartbeatError{}))
+	g.Expect(current()).To(gomega.Equal(running))
+}
