--- a/admission/controller.go
+++ b/admission/controller.go
@@ -51,8 +51,6 @@
 	running int
 	nextID  uint64
 	rate    rateLimiter
-	// statedRate is the last value of SetRateLimit. The limiter may permit more, see minRate.
-	statedRate rate.Limit
 	// isRateUnknown limits the concurrency to one until SetRateLimit.
 	isRateUnknown bool
 	// isWakeScheduled reports whether a timer will start queued jobs once the rate limit permits.
@@ -73,9 +71,7 @@
 
 // NewController returns a controller for a server that runs the given number of calls at a time.
 func NewController(policy Policy, concurrency int, clock clockwork.Clock) *Controller {
-	return &Controller{
-		clock: clock, policy: policy, limit: NewConcurrencyLimit(concurrency), statedRate: rate.Inf,
-	}
+	return &Controller{clock: clock, policy: policy, limit: NewConcurrencyLimit(concurrency)}
 }
 
 // SetConcurrency sets the number of calls that the server runs at a time, and resets the concurrency limit to it.
@@ -99,11 +95,11 @@
 func (c *Controller) SetRateLimit(limit rate.Limit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if limit == c.statedRate && !c.isRateUnknown {
+	isChanged := c.rate.set(c.clock.Now(), limit)
+	if !isChanged && !c.isRateUnknown {
 		return
 	}
-	c.isRateUnknown, c.statedRate = false, limit
-	c.rate.set(c.clock.Now(), limit)
+	c.isRateUnknown = false
 	if p, ok := c.policy.(capacityAware); ok {
 		p.SetRateLimit(c.rate.limit())
 	}
@@ -196,7 +192,12 @@
 
 // estimatedWait returns how long a new call is expected to be queued.
 func (c *Controller) estimatedWait() time.Duration {
-	return max(c.policy.Backlog()/time.Duration(c.limit.Current()), c.rateDelay())
+	return max(c.concurrencyDelay(), c.rateDelay())
+}
+
+// concurrencyDelay returns how long a new call is expected to be queued because of the concurrency limit.
+func (c *Controller) concurrencyDelay() time.Duration {
+	return c.policy.Backlog() / time.Duration(c.limit.Current())
 }
 
 // rateDelay returns how long a new call is expected to be queued because of the rate limit.
@@ -300,12 +301,13 @@
 func (c *Controller) State() State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	rateDelay := c.rateDelay()
 	s := State{
 		Running:   c.running,
 		Waiting:   c.policy.Waiting(),
 		Limit:     c.limit.Current(),
-		Wait:      c.estimatedWait(),
-		RateDelay: c.rateDelay(),
+		Wait:      max(c.concurrencyDelay(), rateDelay),
+		RateDelay: rateDelay,
 	}
 	if limit := c.rate.limit(); limit != rate.Inf {
 		s.RatePerSecond = float64(limit)
--- a/admission/rate_limit.go
+++ b/admission/rate_limit.go
@@ -35,26 +35,30 @@
 	changedAt time.Time
 }
 
-// set changes the limit. With rate.Inf there is none. A new limit starts without tokens, because the requests just
-// before it count as well.
-func (r *rateLimiter) set(now time.Time, limit rate.Limit) {
+// set sets the limit and reports whether it differs from the one before. With rate.Inf there is none. A new limit starts
+// without tokens, because the requests just before it count as well.
+func (r *rateLimiter) set(now time.Time, limit rate.Limit) bool {
+	limit = max(limit, minRate)
+	before := r.limit()
+	if limit == before {
+		return false
+	}
 	if limit == rate.Inf {
 		r.bucket = nil
-		return
+		return true
+	}
+	if limit < before {
+		r.changedAt = now
 	}
-	limit = max(limit, minRate)
 	burst := max(1, int(float64(limit)*burstTime.Seconds()))
 	if r.bucket == nil {
 		r.bucket = rate.NewLimiter(limit, burst)
 		r.bucket.ReserveN(now, burst)
-		r.changedAt = now
-		return
-	}
-	if limit < r.bucket.Limit() {
-		r.changedAt = now
+		return true
 	}
 	r.bucket.SetLimitAt(now, limit)
 	r.bucket.SetBurstAt(now, burst)
+	return true
 }
 
 // limit returns the rate in force, or rate.Inf.
