--- a/call/call.go
+++ b/call/call.go
@@ -74,6 +74,9 @@
 	CallerGone // caller_gone
 )
 
+// IsAdmissionRejection reports whether the admission control of a server rejected the call.
+func (r Reason) IsAdmissionRejection() bool { return r == Overload || r == Late }
+
 // ParseReason parses the text of a reason. It returns AnswerLost for an unknown text, because that does not claim that
 // the call did not run.
 func ParseReason(text string) Reason {
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -184,9 +184,9 @@
 	s.refusals++
 }
 
-// isRejection reports whether the admission control of a server rejected the call.
+// isRejection reports whether a result is a rejection by the admission control of a server.
 func isRejection(result call.Result) bool {
-	return result.Outcome == class.NotRun && (result.Reason == call.Overload || result.Reason == call.Late)
+	return result.Outcome == class.NotRun && result.Reason.IsAdmissionRejection()
 }
 
 // recordRejection records a rejection by the admission control of a server.
--- a/daemon/usage.go
+++ b/daemon/usage.go
@@ -65,14 +65,14 @@
 		if !ok {
 			return
 		}
-		switch {
-		case strings.HasPrefix(name, callsPrefix):
+		if strings.HasPrefix(name, callsPrefix) {
 			u.calls += counter.Count()
-		case strings.HasPrefix(name, attemptsPrefix):
-			u.unanswered += counter.Count()
 		}
-		if name == attemptsPrefix+call.Overload.String() || name == attemptsPrefix+call.Late.String() {
-			u.rejected += counter.Count()
+		if reason, isAttempt := strings.CutPrefix(name, attemptsPrefix); isAttempt {
+			u.unanswered += counter.Count()
+			if call.ParseReason(reason).IsAdmissionRejection() {
+				u.rejected += counter.Count()
+			}
 		}
 	})
 	var used syscall.Rusage
