--- a/backend/notice.go
+++ b/backend/notice.go
@@ -25,6 +25,20 @@
 	statedAt time.Time
 }
 
+// observe applies the response to a call that was sent at the given time. A response without a limit ends the limit
+// only if the call ran and was sent after the last response that states one, because responses to calls that run at the
+// same time arrive in any order.
+func (s *statedLimit) observe(now, sentAt time.Time, result call.Result) {
+	notice := result.Notice
+	switch {
+	case notice == nil || notice.Err != nil:
+	case notice.RateLimit != rate.Inf:
+		s.limit, s.statedAt = notice.RateLimit, now
+	case result.Outcome == class.Answered && sentAt.After(s.statedAt):
+		s.limit = rate.Inf
+	}
+}
+
 // notices is what one instance of the backend server stated about itself in its responses.
 type notices struct {
 	rate statedLimit
@@ -42,17 +56,3 @@
 	// Invalid is called for a statement that cannot be parsed.
 	Invalid func(error)
 }
-
-// observe applies the response to a call that was sent at the given time. A response without a limit ends the limit
-// only if the call ran and was sent after the last response that states one, because responses to calls that run at the
-// same time arrive in any order.
-func (s *statedLimit) observe(now, sentAt time.Time, result call.Result) {
-	notice := result.Notice
-	switch {
-	case notice == nil || notice.Err != nil:
-	case notice.RateLimit != rate.Inf:
-		s.limit, s.statedAt = notice.RateLimit, now
-	case result.Outcome == class.Answered && sentAt.After(s.statedAt):
-		s.limit = rate.Inf
-	}
-}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -129,8 +129,8 @@
 // Running returns the number of calls that are running on the server.
 func (r *Runner) Running() int { return int(r.running.Load()) }
 
-// rejectedWeight is the weight of the expected run time of a rejected call in the demand. Its caller is told to come back
-// and is then counted again.
+// rejectedWeight is the weight of the expected run time of a rejected call in the demand. Its caller retries it after the
+// Retry-After, and it is then counted again.
 const rejectedWeight = 0.5
 
 // minCapacityShare bounds the demand of a server whose rate limit leaves it next to nothing. Without the bound, its load
--- a/standin/deployment/checker.go
+++ b/standin/deployment/checker.go
@@ -89,6 +89,14 @@
 	return c.executions[id]
 }
 
+// checkDrainTime reports a violation if a request reached an instance too long after the event from which its drain time
+// counts.
+func (c *InvariantChecker) checkDrainTime(id string, instance ownership.Instance, since time.Time, event string) {
+	if late := time.Since(since); late > drainTime+drainTolerance {
+		c.ReportViolation("request %s reached %s %s after %s", id, instance, late, event)
+	}
+}
+
 // ReportViolation records a violation that was detected outside of the checker.
 func (c *InvariantChecker) ReportViolation(format string, values ...any) {
 	c.mu.Lock()
--- a/standin/deployment/notice.go
+++ b/standin/deployment/notice.go
@@ -66,9 +66,7 @@
 	if n.leavingSince.IsZero() {
 		n.leavingSince = now
 	}
-	if late := now.Sub(n.leavingSince); late > drainTime+drainTolerance {
-		n.checker.ReportViolation("request %s reached %s %s after it stated that it is leaving", id, n.instance, late)
-	}
+	n.checker.checkDrainTime(id, n.instance, n.leavingSince, "it stated that it is leaving")
 }
 
 // countArrival counts a request and reports a violation if the last rateWindow has too many.
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -179,8 +179,8 @@
 	s.mu.Lock()
 	acknowledged := s.drainAcknowledgedAt
 	s.mu.Unlock()
-	if late := time.Since(acknowledged); !acknowledged.IsZero() && late > drainTime+drainTolerance {
-		s.checker.ReportViolation("request %s reached %s %s after its leaving was acknowledged", id, s.instance, late)
+	if !acknowledged.IsZero() {
+		s.checker.checkDrainTime(id, s.instance, acknowledged, "its leaving was acknowledged")
 	}
 }
 
