--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -18,10 +18,7 @@
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 )
 
-var (
-	headerNames = call.DefaultHeaderNames()
-	realClock   = clockwork.NewRealClock()
-)
+var headerNames = call.DefaultHeaderNames()
 
 // newCall returns a call for key 7 whose deadline passes after the timeout.
 func newCall(timeout time.Duration) call.Call {
--- a/backend/notice_test.go
+++ b/backend/notice_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/onsi/gomega"
 	"golang.org/x/time/rate"
 
@@ -120,7 +121,7 @@
 	s.runCalls(r, 50*time.Millisecond)
 	g.Expect(r.State().RatePerSecond).To(gomega.BeEquivalentTo(10))
 	r.SetPermit(backend.Permit{IsUsable: true, Instance: "i-1", Concurrency: 2},
-		backend.NewClient(address, 2, headerNames, func() {}, realClock))
+		backend.NewClient(address, 2, headerNames, func() {}, clockwork.NewRealClock()))
 	g.Expect(r.State().RatePerSecond).To(gomega.BeZero())
 }
 
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -313,14 +313,11 @@
 		{Host: "a", IsUsable: true, IsShuttingDown: true, Concurrency: 2},
 		{Host: "b", IsUsable: true, Concurrency: 2},
 	}
-	table := caller.NewTable()
-	table.Set(caller.Routes{
+	s := &scriptedSender{}
+	relay, _ := newRelay(s, caller.Routes{
 		"free":  caller.NewServiceRoute(false, servers, nil),
 		"keyed": caller.NewServiceRoute(true, servers, newRoutes()["keyed"].Record),
-	})
-	s := &scriptedSender{}
-	budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
-	relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, clock, 1)
+	}, clock)
 	deadline := clock.Now().Add(time.Second)
 	for range 5 {
 		relay.Do(context.Background(), call.Call{Service: "free", Class: &classes[0], Deadline: deadline})
--- a/daemon/observe_test.go
+++ b/daemon/observe_test.go
@@ -18,7 +18,7 @@
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 )
 
-// TestUsageShowsAttemptsAndProcessorTime checks that the log tells an overload by repeated attempts from one by control.
+// TestUsageShowsAttemptsAndProcessorTime checks that the log distinguishes an overload by repeated attempts from one by control.
 func TestUsageShowsAttemptsAndProcessorTime(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var out bytes.Buffer
--- a/daemon/server_test.go
+++ b/daemon/server_test.go
@@ -12,18 +12,20 @@
 	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
+// sendHeartbeat sends a daemon a heartbeat of an instance of its backend server.
+func sendHeartbeat(d *Daemon, instance ownership.Instance, sequence uint64) error {
+	_, err := heartbeatHandler{d.control}.Heartbeat(context.Background(), ownership.Heartbeat{
+		Instance: instance, Address: "127.0.0.1:2", Service: "s", Concurrency: 2, Sequence: sequence,
+	})
+	return err
+}
+
 // TestServerThatStatesItsLeavingGetsNoWorkAfterItsDrainTime guards against calls to a server that left without a heartbeat
 // that says so, and against a heartbeat from before that makes it ready again.
 func TestServerThatStatesItsLeavingGetsNoWorkAfterItsDrainTime(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := newDaemon(t, store.NewMemory(clockwork.NewRealClock()))
 	instance := ownership.Instance{ID: "i", Born: 5}
-	beat := func(sequence uint64, instance ownership.Instance) {
-		_, err := heartbeatHandler{d.control}.Heartbeat(context.Background(), ownership.Heartbeat{
-			Instance: instance, Address: "127.0.0.1:2", Service: "s", Concurrency: 2, Sequence: sequence,
-		})
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-	}
 	// inspect ticks at the given time after now and returns the server's state and whether it may get work.
 	inspect := func(after time.Duration) (state ownership.ServerState, isUsable bool) {
 		done := make(chan struct{})
@@ -36,7 +38,7 @@
 		<-done
 		return state, isUsable
 	}
-	beat(1, instance)
+	g.Expect(sendHeartbeat(d, instance, 1)).To(gomega.Succeed())
 	d.control.leavingNotice.Store(&leavingNotice{instance: "another", request: "id-1"})
 	state, _ := inspect(0)
 	g.Expect(state).To(gomega.Equal(ownership.ServerReady))
@@ -44,11 +46,11 @@
 	state, isUsable := inspect(0)
 	g.Expect(state).To(gomega.Equal(ownership.ServerDraining))
 	g.Expect(isUsable).To(gomega.BeTrue())
-	beat(2, instance)
+	g.Expect(sendHeartbeat(d, instance, 2)).To(gomega.Succeed())
 	state, isUsable = inspect(d.settings.Backend.DrainTime)
 	g.Expect(state).To(gomega.Equal(ownership.ServerDraining))
 	g.Expect(isUsable).To(gomega.BeFalse())
-	beat(1, ownership.Instance{ID: "next", Born: 6})
+	g.Expect(sendHeartbeat(d, ownership.Instance{ID: "next", Born: 6}, 1)).To(gomega.Succeed())
 	state, _ = inspect(0)
 	g.Expect(state).To(gomega.Equal(ownership.ServerReady))
 }
@@ -61,12 +63,6 @@
 	g := gomega.NewWithT(t)
 	d := newDaemon(t, store.NewMemory(clockwork.NewRealClock()))
 	ended, running := ownership.Instance{ID: "i", Born: 4}, ownership.Instance{ID: "i", Born: 5}
-	beat := func(instance ownership.Instance, sequence uint64) error {
-		_, err := heartbeatHandler{d.control}.Heartbeat(context.Background(), ownership.Heartbeat{
-			Instance: instance, Address: "127.0.0.1:2", Service: "s", Concurrency: 2, Sequence: sequence,
-		})
-		return err
-	}
 	current := func() ownership.Instance {
 		instances := make(chan ownership.Instance, 1)
 		d.control.post(context.Background(), func(now ownership.Instant) {
@@ -75,10 +71,10 @@
 		})
 		return <-instances
 	}
-	g.Expect(beat(ended, 90)).To(gomega.Succeed())
+	g.Expect(sendHeartbeat(d, ended, 90)).To(gomega.Succeed())
 	g.Expect(current()).To(gomega.Equal(ended))
-	g.Expect(beat(running, 1)).To(gomega.Succeed())
+	g.Expect(sendHeartbeat(d, running, 1)).To(gomega.Succeed())
 	g.Expect(current()).To(gomega.Equal(running))
-	g.Expect(beat(ended, 91)).To(gomega.BeAssignableToTypeOf(&ownership.StaleHeartbeatError{}))
+	g.Expect(sendHeartbeat(d, ended, 91)).To(gomega.BeAssignableToTypeOf(&ownership.StaleHeartbeatError{}))
 	g.Expect(current()).To(gomega.Equal(running))
 }
