feat(daemon): a line for values of the store that are not applied

Cause: a value of the store that is older than the known one left no line, so the hypotheses of CONFIG could not be told apart. Change: a line with key, revision and known revision, and a counter.

--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -173,6 +173,14 @@
 	o.events.Add(timeline.Event{Kind: timeline.Configuration, Name: "in_force"})
 }
 
+// staleValue records a value of the store that is older than the known one.
+func (o *observer) staleValue(key string, revision, known uint64) {
+	o.counter("store.stale_values").inc()
+	if o.allowLine() {
+		o.log.Info("value of the store not applied: a newer one is known", "key", key, "revision", revision, "known", known)
+	}
+}
+
 // noRateLimit is the value of the gauge of the rate limit if there is none.
 const noRateLimit = -1
 
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -135,6 +135,7 @@
 func (c *control) applyItems(now ownership.Instant, items []store.Item) {
 	entries := make([]membership.Entry, len(items))
 	for i, item := range items {
+		c.logOutdated(item)
 		entries[i] = membership.Entry{
 			Key:       item.Key,
 			Version:   membership.Version(item.Revision),
@@ -145,6 +146,14 @@
 	c.applyStoreEntries(now, entries...)
 }
 
+// logOutdated logs a value of the store that will not be applied, because a newer one is known.
+func (c *control) logOutdated(item store.Item) {
+	known := c.replica.Get(item.Key).Version
+	if membership.Version(item.Revision) < known {
+		c.observer.staleValue(item.Key, uint64(item.Revision), uint64(known))
+	}
+}
+
 // markDeleted marks the known values that a complete read of a prefix did not find as deleted.
 func (c *control) markDeleted(now ownership.Instant, prefix string, read store.Snapshot) {
 	found := map[string]bool{}
