--- a/daemon/control.go
+++ b/daemon/control.go
@@ -45,10 +45,14 @@
 	store store.Store
 	// directStore accesses the store without the fallback through other daemons. isStoreUnreachable reports whether that
 	// direct access has failed for a while.
-	directStore        store.Store
+	directStore        peer.DirectStore
 	isStoreUnreachable func() bool
-	replica            *membership.Replica
-	roster             *membership.Roster
+	// storeEra is the newest known era of the store. isReadDue is set while the store has to be read as a whole because
+	// it was restored.
+	storeEra  store.Era
+	isReadDue bool
+	replica   *membership.Replica
+	roster    *membership.Roster
 	// peerAddresses holds the control addresses of the other hosts. Any goroutine may read it.
 	peerAddresses atomic.Pointer[[]string]
 	notifier      *peer.Notifier
@@ -75,9 +79,11 @@
 	gossip            gossipState
 	records           map[class.Service]*ownership.Record
 	config            *class.Config
-	loadMeter         loadMeter
-	usageMeter        usageMeter
-	permit            permitInputs
+	// configRevision is the revision of the configuration that was last read from the store.
+	configRevision store.Revision
+	loadMeter      loadMeter
+	usageMeter     usageMeter
+	permit         permitInputs
 	// isRecordReadDue is set while the ownership machine waits for a read of the record that has not been started. A
 	// service without keys has no record, so the read waits for the configuration.
 	isRecordReadDue bool
@@ -122,7 +128,7 @@
 	}
 	c.gossip = newGossipState(o.BootClock.Now())
 	c.server = newServerState(d.settings, o.BootClock.Now())
-	fallback := d.newStore(c.knownPeerAddresses)
+	fallback := d.newStore(c.knownPeerAddresses, c.postEra)
 	c.store, c.directStore, c.isStoreUnreachable = fallback, fallback.direct, fallback.isUnreachable
 	return c
 }
@@ -237,7 +243,7 @@
 func (c *control) handleRegistered(now ownership.Instant, registered membership.Registered) {
 	c.epoch = registered.Epoch
 	c.registeredOnce.Do(func() { close(c.registered) })
-	c.log.Info("registered", "epoch", registered.Epoch, "revision", registered.Revision)
+	c.log.Info("registered", "epoch", registered.Epoch, "revision", registered.Revision.String())
 	c.gossip.announcementCount = 0
 	c.publishPresence(now, registered)
 	c.runOwnershipEffects(now, c.machine.Registered(now, registered.SentAt, registered.Epoch, registered.Revision))
@@ -255,6 +261,8 @@
 			c.writeRecord(effect)
 		case ownership.EndLease:
 			c.endLease(effect.Host)
+		case ownership.Reregister:
+			c.runRegistrarEffects(now, c.registrar.Reregister(now))
 		case ownership.RecordUpdated:
 			c.publishRecord(now, effect)
 		case ownership.AnnounceHandover:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -181,14 +181,16 @@
 	return nil
 }
 
-// newStore returns a client of the platform's store that falls back to calls through other daemons.
-func (d *Daemon) newStore(peers func() []string) *fallbackStore {
+// newStore returns a client of the platform's store that falls back to calls through other daemons. onEra is called with
+// the eras that the responses state.
+func (d *Daemon) newStore(peers func() []string, onEra func(store.Era)) *fallbackStore {
 	client := platform.NewClient(d.settings.Platform.Address, platform.ClientOptions{
 		Timeout:       d.settings.Platform.Timeout,
 		OnItemSkipped: func(key string, err error) { d.observer.inputRejected("store item "+key, err) },
 		OnCall:        d.observer.storeCalled,
+		OnEra:         onEra,
 	})
-	viaPeer := func(address string) store.Store { return peer.RelayedStore{Address: address} }
+	viaPeer := func(address string) store.Store { return peer.RelayedStore{Address: address, OnEra: onEra} }
 	return newFallbackStore(client, viaPeer, peers, d.observer.dependency("store"), d.clock)
 }
 
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -307,9 +307,9 @@
 	data, err := platform.EncodeConfig(&class.Config{Version: 5})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	newer.control.post(context.Background(), func(now ownership.Instant) {
-		newer.control.applyEntry(now, membership.Entry{Key: platform.ConfigKey, Version: 9, Data: data})
+		newer.control.applyEntry(now, membership.Entry{Key: platform.ConfigKey, Version: 5, Data: data})
 	})
-	gossipHandler{newer.control}.Digest(peer.Digest{From: listener.Addr().String(), Digest: 1, Config: 8})
+	gossipHandler{newer.control}.Digest(peer.Digest{From: listener.Addr().String(), Digest: 1, Config: 4})
 	g.Eventually(func() *class.Config { return older.callerHandler.Config() }).Should(gomega.HaveField("Version",
 		class.Version(5)))
 }
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -88,9 +88,14 @@
 
 // applyEntry applies a store value if it is newer than the known one and can be decoded, and reports whether it did.
 func (c *control) applyEntry(now ownership.Instant, e membership.Entry) bool {
-	if e.Version <= c.replica.Get(e.Key).Version {
+	if e.Key == platform.ConfigKey {
+		return c.applyConfigEntry(now, e)
+	}
+	revision := store.Revision(e.Version)
+	if c.isOfLostEra(revision) || e.Version <= c.replica.Get(e.Key).Version {
 		return false
 	}
+	c.observeEra(now, revision.Era())
 	apply, err := c.decode(e)
 	if err != nil {
 		c.observer.inputRejected("entry "+e.Key, err)
@@ -104,16 +109,37 @@
 	return true
 }
 
+// unknownConfigVersion is the version of an entry whose configuration has not been decoded yet.
+const unknownConfigVersion = 0
+
+// applyConfigEntry puts a configuration in force if it is newer than the known one, and reports whether it did.
+// Configurations are ordered by the version that their operator gave them, which rises across restores of the store.
+func (c *control) applyConfigEntry(now ownership.Instant, e membership.Entry) bool {
+	known := c.replica.Get(e.Key).Version
+	if e.IsDeleted || e.Version != unknownConfigVersion && e.Version <= known {
+		return false
+	}
+	config, err := platform.DecodeConfig(e.Data)
+	if err != nil {
+		c.observer.inputRejected("entry "+e.Key, err)
+		return false
+	}
+	e.Version = membership.Version(config.Version)
+	if !c.replica.Merge(e) {
+		if e.Version < known {
+			c.log.Warn("configuration ignored", "version", config.Version, "in_force", known)
+		}
+		return false
+	}
+	c.gossip.changedAt = now
+	c.isDirty = true
+	c.applyConfig(config)
+	return true
+}
+
 // decode decodes a store value and returns the function that applies it, or nil for values that other daemons do not
 // need.
 func (c *control) decode(e membership.Entry) (func(now ownership.Instant), error) {
-	if e.Key == platform.ConfigKey && !e.IsDeleted {
-		config, err := platform.DecodeConfig(e.Data)
-		if err != nil {
-			return nil, err
-		}
-		return func(ownership.Instant) { c.applyConfig(config, e.Version) }, nil
-	}
 	if host, ok := strings.CutPrefix(e.Key, c.layout.Presence("")); ok {
 		return c.decodePresence(ownership.HostID(host), e)
 	}
@@ -155,6 +181,7 @@
 		if !c.applyEntry(now, e) {
 			continue
 		}
+		e = c.replica.Get(e.Key)
 		applied = append(applied, e)
 		if e.Key == platform.ConfigKey && len(e.Data) <= maxRemoteEntryBytes {
 			remote = append(remote, e)
@@ -168,21 +195,24 @@
 	}
 }
 
-// applyConfig puts a newer configuration in force. The version in force never decreases.
-func (c *control) applyConfig(config *class.Config, version membership.Version) {
-	if c.config != nil && config.Version <= c.config.Version {
-		c.log.Warn("configuration ignored", "version", config.Version, "in_force", c.config.Version)
-		return
-	}
+// applyConfig puts a newer configuration in force.
+func (c *control) applyConfig(config *class.Config) {
 	c.config = config
 	c.daemon.callerHandler.SetConfig(config)
 	c.daemon.callerServer.setLimits(config.Limits)
-	c.observer.configApplied(config.Version, uint64(version))
+	c.observer.configApplied(config.Version)
 	c.readRecordIfDue()
 }
 
+// applyRecord applies a record of the store. After a restore, a record that was in force before may be in the store.
 func (c *control) applyRecord(now ownership.Instant, record *ownership.Record, revision store.Revision) {
-	c.records[record.Service] = record
+	if known := c.records[record.Service]; record.Supersedes(known) {
+		c.records[record.Service] = record
+	} else {
+		c.log.Info("ownership record not in force: it is older than the known one", "service", record.Service,
+			"revision", revision.String(), "era", record.Era, "generation", record.Generation,
+			"known_era", known.Era, "known_generation", known.Generation)
+	}
 	if record.Service == c.service {
 		c.runOwnershipEffects(now, c.machine.RecordReceived(now, record, revision))
 	}
@@ -192,9 +222,10 @@
 // the newer entries of the sender, which include the whole record.
 func (c *control) applyDelta(now ownership.Instant, from string, d ownership.Delta) bool {
 	key, version := c.layout.Record(d.Service), membership.Version(d.Revision)
-	if version <= c.replica.Get(key).Version {
+	if c.isOfLostEra(d.Revision) || version <= c.replica.Get(key).Version {
 		return false
 	}
+	c.observeEra(now, d.Revision.Era())
 	known := c.records[d.Service]
 	if known == nil {
 		c.pullNewer(from)
@@ -231,7 +262,7 @@
 	}
 	c.gossip.changedAt = now
 	update := peer.Update{}
-	if previous != nil {
+	if updated.Record.HasDelta(previous) {
 		update.Changes = []ownership.Delta{updated.Record.Delta(previous, updated.Revision)}
 	} else {
 		data, err := updated.Record.Encode()
--- a/daemon/fallback.go
+++ b/daemon/fallback.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/skylarkrelay/skylarkrelay/peer"
 	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
@@ -20,7 +21,7 @@
 
 // fallbackStore calls the store directly, or through another daemon while the store is not available to this host.
 type fallbackStore struct {
-	direct  store.Store
+	direct  peer.DirectStore
 	viaPeer func(address string) store.Store
 	peers   func() []string
 	health  dependency
@@ -33,7 +34,7 @@
 }
 
 func newFallbackStore(
-	direct store.Store, viaPeer func(string) store.Store, peers func() []string, health dependency, clock clockwork.Clock,
+	direct peer.DirectStore, viaPeer func(string) store.Store, peers func() []string, health dependency, clock clockwork.Clock,
 ) *fallbackStore {
 	return &fallbackStore{direct: direct, viaPeer: viaPeer, peers: peers, health: health, clock: clock}
 }
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -33,7 +33,7 @@
 	var applied peer.Update
 	for _, e := range update.Entries {
 		if c.applyEntry(now, e) {
-			applied.Entries = append(applied.Entries, e)
+			applied.Entries = append(applied.Entries, c.replica.Get(e.Key))
 		}
 	}
 	for _, delta := range update.Changes {
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/store"
 	"github.com/skylarkrelay/skylarkrelay/timeline"
 )
 
@@ -167,17 +168,18 @@
 }
 
 // configApplied records a new configuration.
-func (o *observer) configApplied(version class.Version, revision uint64) {
+func (o *observer) configApplied(version class.Version) {
 	metrics.GetOrRegisterGauge("config.version", o.registry).Update(int64(version))
-	o.log.Info("configuration in force", "version", version, "revision", revision)
+	o.log.Info("configuration in force", "version", version)
 	o.events.Add(timeline.Event{Kind: timeline.Configuration, Name: "in_force"})
 }
 
 // staleValue records a value of the store that is older than the known one.
-func (o *observer) staleValue(key string, revision, known uint64) {
+func (o *observer) staleValue(key string, revision, known store.Revision) {
 	o.counter("store.stale_values").inc()
 	if o.allowLine() {
-		o.log.Info("value of the store not applied: a newer one is known", "key", key, "revision", revision, "known", known)
+		o.log.Debug("value of the store not applied: a newer one is known", "key", key,
+			"revision", revision.String(), "known", known.String())
 	}
 }
 
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -83,7 +83,7 @@
 		record, err := decodeRecord(item, nil)
 		if err != nil {
 			c.log.Warn("decoding the ownership record of another writer failed",
-				"revision", item.Revision, "error", err)
+				"revision", item.Revision.String(), "error", err)
 			continue
 		}
 		result.Record, result.RecordRevision = record, item.Revision
@@ -128,9 +128,12 @@
 	if item.Revision == 0 {
 		return 0, nil // the host has never registered
 	}
-	_, lease, err := membership.DecodeEpoch(item.Value)
+	stored, err := membership.DecodeEpoch(item.Value)
 	if err != nil {
 		return 0, err
 	}
-	return item.Revision, c.store.Revoke(ctx, lease)
+	if stored.Era != 0 && stored.Era < item.Revision.Era() {
+		return item.Revision, nil // no host acts under a lease from before a restore, and its ID may be given out again
+	}
+	return item.Revision, c.store.Revoke(ctx, stored.Lease)
 }
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -54,6 +54,8 @@
 			isStarted = err == nil
 		case c.shouldWatch(ctx):
 			err = c.readAndWatch(ctx)
+		case c.ask(ctx, c.isRestoreUnread):
+			_, err = c.readAll(ctx)
 		case c.isConfigOverdue(ctx):
 			err = c.readConfig(ctx)
 			c.sleep(ctx, configPatience)
@@ -87,13 +89,10 @@
 
 // readAndWatch reads the configuration and all values of this system, and watches the store from there.
 func (c *control) readAndWatch(ctx context.Context) error {
-	revision, err := c.readValues(ctx, c.layout.Prefix)
+	revision, err := c.readAll(ctx)
 	if err != nil {
 		return err
 	}
-	if err := c.readConfig(ctx); err != nil {
-		return err
-	}
 	return c.watch(ctx, revision)
 }
 
@@ -133,24 +132,32 @@
 }
 
 func (c *control) applyItems(now ownership.Instant, items []store.Item) {
-	entries := make([]membership.Entry, len(items))
-	for i, item := range items {
+	entries := make([]membership.Entry, 0, len(items))
+	for _, item := range items {
+		version := membership.Version(item.Revision)
+		if item.Key == platform.ConfigKey {
+			if item.IsDeleted || item.Revision == 0 || item.Revision == c.configRevision {
+				continue
+			}
+			c.configRevision = item.Revision
+			version = unknownConfigVersion
+		}
 		c.logOutdated(item)
-		entries[i] = membership.Entry{
+		entries = append(entries, membership.Entry{
 			Key:       item.Key,
-			Version:   membership.Version(item.Revision),
+			Version:   version,
 			Data:      item.Value,
 			IsDeleted: item.IsDeleted,
-		}
+		})
 	}
 	c.applyStoreEntries(now, entries...)
 }
 
 // logOutdated logs a value of the store that will not be applied, because a newer one is known.
 func (c *control) logOutdated(item store.Item) {
-	known := c.replica.Get(item.Key).Version
-	if membership.Version(item.Revision) < known {
-		c.observer.staleValue(item.Key, uint64(item.Revision), uint64(known))
+	known := store.Revision(c.replica.Get(item.Key).Version)
+	if item.Key != platform.ConfigKey && item.Revision < known {
+		c.observer.staleValue(item.Key, item.Revision, known)
 	}
 }
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -133,9 +133,9 @@
 	g.Expect(r.registrar.Lease()).To(gomega.Equal(lease))
 	item, err := s.Get(context.Background(), ownership.StoreLayout{}.Epoch("h"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	_, named, err := membership.DecodeEpoch(item.Value)
+	named, err := membership.DecodeEpoch(item.Value)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(named).To(gomega.Equal(lease))
+	g.Expect(named.Lease).To(gomega.Equal(lease))
 }
 
 func TestRegistrationAfterPresenceDeleted(t *testing.T) {
@@ -144,9 +144,50 @@
 	r := newRegistrarDriver(s)
 	r.advance(0)
 	s.RemoveLeased(ownership.StoreLayout{}.Presence("h"))
-	r.execute(r.registrar.PresenceDeleted(r.now, 99))
+	present, err := s.List(context.Background(), "")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.execute(r.registrar.PresenceDeleted(r.now, present.Revision))
 	g.Expect(r.epochs).To(gomega.Equal([]ownership.Epoch{1, 2}), "registered again at once, under the same lease")
 	item, err := s.Get(context.Background(), ownership.StoreLayout{}.Presence("h"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(item.Revision).NotTo(gomega.BeZero())
 }
+
+// TestRegistrationAfterARestore checks that a host registers again in a new era of the store, although its lease and its
+// registration may be in the copy from which the store was restored.
+func TestRegistrationAfterARestore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := store.NewMemory(clockwork.NewFakeClock())
+	r := newRegistrarDriver(s)
+	r.execute(r.registrar.EraObserved(r.now, s.Era()))
+	r.advance(0)
+	backup, before := s.Copy(), r.registrar.Lease()
+	s.Restore(backup)
+	r.execute(r.registrar.EraObserved(r.now, s.Era()))
+	g.Expect(r.unregistered).To(gomega.Equal(1))
+	g.Expect(r.epochs).To(gomega.HaveLen(2))
+	g.Expect(r.registrar.Lease()).NotTo(gomega.Equal(before))
+	s.Restore(backup)
+	restarted := newRegistrarDriver(s)
+	restarted.execute(restarted.registrar.EraObserved(restarted.now, s.Era()))
+	restarted.advance(0)
+	g.Expect(restarted.epochs).To(gomega.HaveLen(1))
+	g.Expect(restarted.epochs[0]).To(gomega.BeNumerically(">", r.epochs[1]), "epochs that were lost are not used again")
+}
+
+// TestRenewalAcrossARestoreIsVoid guards against authority that is extended by the renewal of a lease of an earlier era.
+func TestRenewalAcrossARestoreIsVoid(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := store.NewMemory(clockwork.NewFakeClock())
+	r := newRegistrarDriver(s)
+	r.execute(r.registrar.EraObserved(r.now, s.Era()))
+	r.advance(0)
+	r.now = r.now.Add(2 * time.Second)
+	renewal := r.registrar.Tick(r.now)
+	g.Expect(renewal).To(gomega.HaveLen(1))
+	s.Restore(s.Copy())
+	r.execute(r.registrar.EraObserved(r.now, s.Era()))
+	r.execute(renewal)
+	g.Expect(r.renewed).To(gomega.BeZero())
+	g.Expect(r.epochs).To(gomega.HaveLen(2), "the host registers as soon as the call has ended")
+}
--- a/membership/registrar.go
+++ b/membership/registrar.go
@@ -48,22 +48,28 @@
 func (Renewed) isEffect()      {}
 func (Unregistered) isEffect() {}
 
-// epochItem is the stored value of a host's epoch. Lease is the lease that another host has to revoke before a
-// takeover.
-type epochItem struct {
+// EpochItem is the stored value of a host's epoch.
+type EpochItem struct {
 	Epoch ownership.Epoch `json:"epoch"`
-	Lease store.LeaseID   `json:"lease"`
+	// Lease is the lease that another host has to revoke before a takeover.
+	Lease store.LeaseID `json:"lease"`
+	// Era is the era of the store in which the host registered. A lease of an earlier era may be another host's now.
+	Era store.Era `json:"era,omitempty"`
 }
 
-// DecodeEpoch decodes the epoch of a host and the lease under which the host was registered.
-func DecodeEpoch(data []byte) (ownership.Epoch, store.LeaseID, error) {
-	var item epochItem
+// DecodeEpoch decodes the epoch of a host.
+func DecodeEpoch(data []byte) (EpochItem, error) {
+	var item EpochItem
 	if err := json.Unmarshal(data, &item); err != nil {
-		return 0, 0, &EntryError{Key: "epoch", Cause: err}
+		return EpochItem{}, &EntryError{Key: "epoch", Cause: err}
 	}
-	return item.Epoch, item.Lease, nil
+	return item, nil
 }
 
+// epochEraGap is by how much an epoch rises with each era of the store, because the newest epochs of an era may have
+// been lost.
+const epochEraGap = 1 << 20
+
 // Registrar keeps this host registered. It makes no calls itself: a single control goroutine carries out its effects
 // and passes it the results.
 //
@@ -80,10 +86,14 @@
 	epoch         ownership.Epoch
 	epochRevision store.Revision
 
+	// era is the newest known era of the store.
+	era           store.Era
 	lease         store.LeaseID
 	isRegistered  bool
 	isCallPending bool
-	nextCallAt    ownership.Instant
+	// isCallOutdated is whether the pending call was made before the store was restored, so that its result is void.
+	isCallOutdated bool
+	nextCallAt     ownership.Instant
 }
 
 // NewRegistrar returns the registrar of a host that has just started.
@@ -120,7 +130,7 @@
 	if err != nil {
 		return []Effect{Unregistered{Reason: err.Error()}}
 	}
-	item, err := json.Marshal(epochItem{Epoch: r.epoch + 1, Lease: r.lease})
+	item, err := json.Marshal(EpochItem{Epoch: r.epoch + 1, Lease: r.lease, Era: r.era})
 	if err != nil {
 		return []Effect{Unregistered{Reason: err.Error()}}
 	}
@@ -143,16 +153,47 @@
 
 // applyEpochItem applies the current item of the epoch.
 func (r *Registrar) applyEpochItem(item store.Item) {
-	epoch, _, err := DecodeEpoch(item.Value)
+	r.epochRevision = item.Revision
+	stored, err := DecodeEpoch(item.Value)
 	if item.Revision == 0 || err != nil {
-		epoch = r.epoch // an item that cannot be decoded is replaced; the write is still conditional on its revision
+		return // an item that cannot be decoded is replaced; the write is still conditional on its revision
 	}
-	r.epoch = max(r.epoch, epoch)
-	r.epochRevision = item.Revision
+	r.epoch = max(r.epoch, stored.Epoch+epochEraGap*ownership.Epoch(r.era-min(r.era, stored.Era)))
+}
+
+// EraObserved records the era of the store. If it is not the first one that this daemon observes, the store was
+// restored: the lease, the registration and a call in progress belong to an earlier era.
+func (r *Registrar) EraObserved(now ownership.Instant, era store.Era) []Effect {
+	if r.era == 0 || era <= r.era {
+		r.era = max(r.era, era)
+		return nil
+	}
+	r.era = era
+	r.isCallOutdated = r.isCallPending
+	r.lease, r.epochRevision = 0, 0
+	r.nextCallAt = now
+	var effects []Effect
+	if r.isRegistered {
+		r.isRegistered = false
+		effects = append(effects, Unregistered{Reason: "the store was restored"})
+	}
+	return append(effects, r.Tick(now)...)
+}
+
+// discardOutdated reports whether the result of the pending call is void, and then ends the call.
+func (r *Registrar) discardOutdated() bool {
+	if !r.isCallOutdated {
+		return false
+	}
+	r.isCallOutdated, r.isCallPending = false, false
+	return true
 }
 
 // LeaseGranted processes the result of GrantLease.
 func (r *Registrar) LeaseGranted(now ownership.Instant, lease store.LeaseID, err error) []Effect {
+	if r.discardOutdated() {
+		return r.Tick(now)
+	}
 	if err != nil {
 		return r.retryLater(now)
 	}
@@ -163,6 +204,9 @@
 
 // RegisterDone processes the result of Register.
 func (r *Registrar) RegisterDone(now, sentAt ownership.Instant, revision store.Revision, err error) []Effect {
+	if r.discardOutdated() {
+		return r.Tick(now)
+	}
 	switch failure := err.(type) {
 	case nil:
 		return r.completeRegistration(now, sentAt, r.epoch+1, revision)
@@ -184,11 +228,12 @@
 		if item.Key != r.layout.Epoch(r.presence.Host) {
 			continue
 		}
-		epoch, lease, err := DecodeEpoch(item.Value)
-		if err == nil && lease == r.lease && item.Revision != r.epochRevision {
+		stored, err := DecodeEpoch(item.Value)
+		isOwn := err == nil && stored.Lease == r.lease && stored.Era == r.era
+		if isOwn && item.Revision != r.epochRevision {
 			// An earlier attempt whose answer was lost has been applied. The time at which it was sent does not tell
 			// when it was applied; the next renewal does.
-			return r.completeRegistration(now, 0, epoch, item.Revision)
+			return r.completeRegistration(now, 0, stored.Epoch, item.Revision)
 		}
 		r.applyEpochItem(item)
 		return r.Tick(now)
@@ -214,6 +259,9 @@
 
 // RenewDone processes the result of RenewLease.
 func (r *Registrar) RenewDone(now, sentAt ownership.Instant, lease store.LeaseID, err error) []Effect {
+	if r.discardOutdated() {
+		return r.Tick(now)
+	}
 	if lease != r.lease {
 		r.isCallPending = false
 		return nil
@@ -237,6 +285,17 @@
 	}
 }
 
+// Reregister starts a new registration, because the store has another epoch of this host than the known one.
+func (r *Registrar) Reregister(now ownership.Instant) []Effect {
+	if !r.isRegistered {
+		return nil
+	}
+	r.isRegistered = false
+	r.nextCallAt = now
+	effects := []Effect{Unregistered{Reason: "epoch in the store is another one"}}
+	return append(effects, r.Tick(now)...)
+}
+
 // PresenceDeleted records that the store no longer has this host's presence as of a revision, although the lease may
 // still be valid.
 func (r *Registrar) PresenceDeleted(now ownership.Instant, revision store.Revision) []Effect {
--- a/ownership/delta.go
+++ b/ownership/delta.go
@@ -25,6 +25,7 @@
 	Revision   store.Revision `json:"revision"`
 	Since      Fence          `json:"since"`
 	Generation Fence          `json:"generation"`
+	Era        store.Era      `json:"era,omitempty"`
 	Nonce      string         `json:"nonce"`
 	// MembersSum is the digest of the members that the rows refer to. Members is empty if the previous record had the
 	// same members.
@@ -47,14 +48,21 @@
 		e.Since, e.Known, e.Reason)
 }
 
+// HasDelta reports whether the changes since the previous record can be sent as a Delta. While a record has unsettled
+// members, rows change without a new fence.
+func (r *Record) HasDelta(before *Record) bool {
+	return before != nil && before.Era == r.Era && len(before.Unsettled) == 0 && len(r.Unsettled) == 0
+}
+
 // Delta returns the recent changes of the record, at least those since the previous record. revision is the record's
-// revision in the store.
+// revision in the store. It may be called only if HasDelta reports true.
 func (r *Record) Delta(before *Record, revision store.Revision) Delta {
 	d := Delta{
 		Service:    r.Service,
 		Revision:   revision,
 		Since:      min(before.Generation, max(r.Generation, deltaGenerations)-deltaGenerations),
 		Generation: r.Generation,
+		Era:        r.Era,
 		Nonce:      r.Nonce,
 		MembersSum: membersSum(r.Members),
 	}
@@ -80,7 +88,11 @@
 	if d.Service != r.Service || r.Generation < d.Since {
 		return nil, &GapError{Since: d.Since, Known: r.Generation, Reason: "the service differs or generations are missing"}
 	}
-	next := &Record{Service: r.Service, Generation: d.Generation, Members: r.Members, Nonce: d.Nonce, Keys: r.Keys.Clone()}
+	if d.Era != r.Era || len(r.Unsettled) > 0 {
+		return nil, &GapError{Since: d.Since, Known: r.Generation, Reason: "the store was restored in between"}
+	}
+	next := r.nextGeneration(d.Nonce)
+	next.Generation, next.Members = d.Generation, r.Members
 	if membersSum(r.Members) != d.MembersSum {
 		if len(d.Members) == 0 {
 			return nil, &GapError{
--- a/ownership/effect.go
+++ b/ownership/effect.go
@@ -26,6 +26,9 @@
 // epoch names. The result goes to LeaseEnded.
 type EndLease struct{ Host HostID }
 
+// Reregister requests to register this host again, because the store has another epoch of it than the known one.
+type Reregister struct{}
+
 // RecordUpdated reports that a newer record is known.
 type RecordUpdated struct {
 	Record   *Record
@@ -51,6 +54,7 @@
 func (ReadRecord) isEffect()       {}
 func (WriteRecord) isEffect()      {}
 func (EndLease) isEffect()         {}
+func (Reregister) isEffect()       {}
 func (RecordUpdated) isEffect()    {}
 func (AnnounceHandover) isEffect() {}
 func (Event) isEffect()            {}
@@ -79,6 +83,13 @@
 	// EventWriteRefused means that the store refused a write because a condition did not hold, or that the record could
 	// not be encoded.
 	EventWriteRefused // write_refused
+	// EventStoreRestored means that the store was restored. Keys is how many keys this host continues to serve.
+	EventStoreRestored // store_restored
+	// EventRecordRestored means that this host put the known assignments in force after the store was restored.
+	EventRecordRestored // record_restored
+	// EventAssignmentsSettled means that this host confirmed its assignments after the store was restored. Keys is how
+	// many of them got new fences.
+	EventAssignmentsSettled // assignments_settled
 	// EventWriteUnconfirmed means that a write was not answered, so it may or may not have been committed.
 	EventWriteUnconfirmed // write_undecided
 )
--- a/ownership/eventkind_string.go
+++ b/ownership/eventkind_string.go
@@ -16,12 +16,15 @@
 	_ = x[EventMoveStarted-5]
 	_ = x[EventMoveAbandoned-6]
 	_ = x[EventWriteRefused-7]
-	_ = x[EventWriteUnconfirmed-8]
+	_ = x[EventStoreRestored-8]
+	_ = x[EventRecordRestored-9]
+	_ = x[EventAssignmentsSettled-10]
+	_ = x[EventWriteUnconfirmed-11]
 }
 
-const _EventKind_name = "keys_dealtkeys_movedfences_raisedtakeover_beguntakeover_donekeys_leavingmove_given_upwrite_refusedwrite_undecided"
+const _EventKind_name = "keys_dealtkeys_movedfences_raisedtakeover_beguntakeover_donekeys_leavingmove_given_upwrite_refusedstore_restoredrecord_restoredassignments_settledwrite_undecided"
 
-var _EventKind_index = [...]uint8{0, 10, 20, 33, 47, 60, 72, 85, 98, 113}
+var _EventKind_index = [...]uint8{0, 10, 20, 33, 47, 60, 72, 85, 98, 112, 127, 146, 161}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -133,11 +133,16 @@
 			if to != "" {
 				continue
 			}
-			handover := a.Handover
-			if m.held.At(part.From).fence >= a.Fence {
-				handover = "" // the backend server holds the keys already
+			for piece, retained := range m.retained.Within(part) {
+				if !m.isServable(a, retained) {
+					continue
+				}
+				handover := a.Handover
+				if m.held.At(piece.From).fence >= a.Fence {
+					handover = "" // the backend server holds the keys already
+				}
+				grants = append(grants, Grant{Span: piece, Fence: m.fenceFor(piece, a.Fence), Handover: handover})
 			}
-			grants = append(grants, Grant{Span: part, Fence: m.fenceFor(part, a.Fence), Handover: handover})
 		}
 	}
 	if encodedSize(grants) > maxGrantBytes {
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -67,8 +67,24 @@
 	// AbsenceGrace.
 	storeAvailableSince Instant
 
+	// era is the newest known era of the store.
+	era                store.Era
+	hasObservedRestore bool
+	// record is the newest known record, and recordRevision the revision of the newest known one in the store.
 	record         *Record
 	recordRevision store.Revision
+	// isRecordOutdated is whether the record in the store is not in force, because the store was restored.
+	// outdatedGeneration is the highest generation of such a record.
+	isRecordOutdated   bool
+	outdatedGeneration Fence
+	// retained contains the fences of the keys that this host has owned without interruption since before the store was
+	// restored. They were granted to the instance retainedBy, and retainedUntil is when the authority expires that this
+	// host had then.
+	retained      keyspace.Map[Fence]
+	retainedBy    Instance
+	retainedUntil Instant
+	// settlesAt is when the authority of every host that does not know of the restore has certainly expired.
+	settlesAt Instant
 	// isRecordFresh is whether the record has been read since the registration.
 	isRecordFresh   bool
 	isReadingRecord bool
@@ -148,6 +164,9 @@
 // Registered records a new registration. sentAt is when the registration was sent to the store, or zero if that is not
 // known.
 func (m *StateMachine) Registered(now, sentAt Instant, epoch Epoch, revision store.Revision) []Effect {
+	if revision.Era() < m.era {
+		return nil // the store has been restored since
+	}
 	m.isRegistered = true
 	m.epoch = epoch
 	m.epochRevision = revision
@@ -191,6 +210,9 @@
 		m.readNotBefore = now.Add(m.timing.RetryDelay)
 		return nil
 	}
+	if r == nil && m.record != nil && m.recordRevision.Era() < m.era {
+		m.recordRevision = 0 // the copy from which the store was restored has no record
+	}
 	effects := m.applyRecord(now, r, revision)
 	if m.isRegistered && epoch == m.epoch {
 		m.isRecordFresh = true
@@ -200,13 +222,24 @@
 
 // applyRecord replaces the known record with a newer one.
 func (m *StateMachine) applyRecord(now Instant, r *Record, revision store.Revision) []Effect {
-	if r == nil || revision <= m.recordRevision {
+	if r == nil || revision <= m.recordRevision || revision.Era() < m.era {
 		return nil
 	}
+	effects := m.EraObserved(now, revision.Era())
+	isOfEra := r.Era == m.era || r.Era == 0 && !m.hasObservedRestore
+	if !isOfEra || !r.Supersedes(m.record) {
+		m.applyOutdated(now, r, revision)
+		return effects
+	}
 	m.record = r
 	m.recordRevision = revision
+	m.isRecordOutdated = false
+	m.outdatedGeneration = 0
+	if len(r.Unsettled) == 0 {
+		m.retained.Clear()
+	}
 	m.unchangedSince = now
-	effects := []Effect{RecordUpdated{Record: r, Revision: revision}}
+	effects = append(effects, RecordUpdated{Record: r, Revision: revision})
 	if p := m.pending; p != nil {
 		m.pending = nil
 		if r.Nonce == p.record.Nonce {
@@ -393,7 +426,10 @@
 	return []Effect{ReadRecord{}}
 }
 
-// mayAct reports whether this host may write the record and grant keys.
-func (m *StateMachine) mayAct(now Instant) bool {
+// mayWrite reports whether this host may write the record.
+func (m *StateMachine) mayWrite(now Instant) bool {
 	return m.isRegistered && m.isRecordFresh && now < m.authorityUntil
 }
+
+// mayAct reports whether this host may act on the known record: grant keys, move them and take them over.
+func (m *StateMachine) mayAct(now Instant) bool { return m.mayWrite(now) && !m.isRecordOutdated }
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -17,7 +17,7 @@
 		return nil
 	}
 	self := m.record.MemberIndex(m.self)
-	if self == NoMember {
+	if self == NoMember || slices.Contains(m.record.Unsettled, m.self) {
 		return nil
 	}
 	switch m.serverState {
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
 // RecordFormat is the version of the encoding of records. Daemons reject records in another format.
@@ -37,10 +39,17 @@
 // Record lists which member owns which keys of one service. A record must not be modified once it is shared.
 type Record struct {
 	Service class.Service
-	// Generation counts the records of the service. New fences are set to it.
+	// Era is the era of the store in which the record was written. Zero means that this is not known.
+	Era store.Era
+	// Generation counts the records of the service. New fences are set to it. In a new era it rises by eraGap.
 	Generation Fence
-	Members    []Member
-	Keys       keyspace.Map[Assignment]
+	// EraGeneration is the generation of the first record of the era, if the store was restored before.
+	EraGeneration Fence
+	// Unsettled contains the members whose assignments of earlier eras are not confirmed in this one. Assignments that
+	// were lost when the store was restored may still be in force at other hosts.
+	Unsettled []HostID
+	Members   []Member
+	Keys      keyspace.Map[Assignment]
 	// Nonce lets the writer recognize its own record.
 	Nonce string
 }
@@ -83,11 +92,14 @@
 // nextGeneration returns a copy of the record with the next generation and the given nonce.
 func (r *Record) nextGeneration(nonce string) *Record {
 	return &Record{
-		Service:    r.Service,
-		Generation: r.Generation + 1,
-		Members:    append([]Member(nil), r.Members...),
-		Keys:       r.Keys.Clone(),
-		Nonce:      nonce,
+		Service:       r.Service,
+		Era:           r.Era,
+		Generation:    r.Generation + 1,
+		EraGeneration: r.EraGeneration,
+		Unsettled:     slices.Clone(r.Unsettled),
+		Members:       slices.Clone(r.Members),
+		Keys:          r.Keys.Clone(),
+		Nonce:         nonce,
 	}
 }
 
@@ -115,6 +127,7 @@
 		keys.Set(span, a)
 	}
 	r.Keys = keys
+	r.settle(r.Members[index].Host)
 	r.Members = append(r.Members[:index:index], r.Members[index+1:]...)
 }
 
@@ -135,6 +148,10 @@
 	Generation Fence         `json:"generation"`
 	Members    []Member      `json:"members"`
 	Nonce      string        `json:"nonce"`
+	Era        store.Era     `json:"era,omitempty"`
+	// EraGeneration and Unsettled are present only after the store was restored.
+	EraGeneration Fence    `json:"era_generation,omitempty"`
+	Unsettled     []HostID `json:"unsettled,omitempty"`
 }
 
 // maxRecordBytes limits the decompressed size of a record. It allows for one row with a handover token per key.
@@ -152,11 +169,14 @@
 // Encode returns the record in the format in which it is stored.
 func (r *Record) Encode() ([]byte, error) {
 	header, err := json.Marshal(recordHeader{
-		Format:     RecordFormat,
-		Service:    r.Service,
-		Generation: r.Generation,
-		Members:    r.Members,
-		Nonce:      r.Nonce,
+		Format:        RecordFormat,
+		Service:       r.Service,
+		Generation:    r.Generation,
+		Members:       r.Members,
+		Nonce:         r.Nonce,
+		Era:           r.Era,
+		EraGeneration: r.EraGeneration,
+		Unsettled:     r.Unsettled,
 	})
 	if err != nil {
 		return nil, &RecordError{Reason: err.Error()}
@@ -212,7 +232,15 @@
 	if decoded.Service == "" || len(body) == 0 {
 		return nil, &RecordError{Reason: "service or rows missing"}
 	}
-	r := &Record{Service: decoded.Service, Generation: decoded.Generation, Members: decoded.Members, Nonce: decoded.Nonce}
+	r := &Record{
+		Service:       decoded.Service,
+		Era:           decoded.Era,
+		Generation:    decoded.Generation,
+		EraGeneration: decoded.EraGeneration,
+		Unsettled:     decoded.Unsettled,
+		Members:       decoded.Members,
+		Nonce:         decoded.Nonce,
+	}
 	rows := rowReader{rest: body, generation: decoded.Generation, members: len(decoded.Members)}
 	for len(rows.rest) > 0 {
 		from, a, err := rows.nextRecordRow()
--- a/ownership/simulation_effects_test.go
+++ b/ownership/simulation_effects_test.go
@@ -24,7 +24,7 @@
 		case membership.Register:
 			var revision store.Revision
 			sim.callStore(h, func() (err error) {
-				revision, err = sim.store.Commit(ctx, effect.Txn)
+				revision, err = sim.commit(effect.Txn)
 				return err
 			}, func(err error) {
 				sim.applyRegistrarEffects(
@@ -67,6 +67,10 @@
 			sim.writeRecord(h, effect.Token, effect.Txn)
 		case ownership.EndLease:
 			sim.endLease(h, effect.Host)
+		case ownership.Reregister:
+			sim.applyRegistrarEffects(h, h.registrar.Reregister(sim.bootTime(h)))
+		case ownership.RecordUpdated:
+			h.published = effect
 		case ownership.Event:
 			sim.tracef("%s %s %s %d %s", h.id, effect.Kind, effect.Host, effect.Keys, effect.Detail)
 			switch effect.Kind {
@@ -74,6 +78,8 @@
 				sim.takeovers++
 			case ownership.EventKeysMoved:
 				sim.moves++
+			case ownership.EventRecordRestored:
+				sim.recoveries++
 			default:
 			}
 		}
@@ -96,6 +102,16 @@
 	})
 }
 
+// commit commits a transaction as the client of the platform's store does: the store compares change counters only, and
+// a success in a later era than that of the conditions is not reported as one.
+func (sim *simulation) commit(txn store.Txn) (store.Revision, error) {
+	revision, err := sim.store.Commit(context.Background(), txn)
+	if sent := txn.Era(); err == nil && sent != 0 && revision.Era() > sent {
+		return 0, &store.RestoredError{Sent: sent, Current: revision.Era()}
+	}
+	return revision, err
+}
+
 func mustDecode(item store.Item) *ownership.Record {
 	if item.Revision == 0 {
 		return nil
@@ -110,7 +126,7 @@
 func (sim *simulation) writeRecord(h *simHost, token ownership.WriteToken, txn store.Txn) {
 	txn = sim.mutateTxn(h, txn)
 	var revision store.Revision
-	do := func() (err error) { revision, err = sim.store.Commit(context.Background(), txn); return err }
+	do := func() (err error) { revision, err = sim.commit(txn); return err }
 	sim.callStore(h, do, func(err error) {
 		result := ownership.WriteResult{Token: token, Status: ownership.WriteCommitted, Revision: revision}
 		switch failure := err.(type) {
@@ -118,6 +134,11 @@
 		case *store.ConflictError:
 			result.Status = ownership.WriteConflict
 			result.Record, result.RecordRevision = mustDecode(failure.Current[0]), failure.Current[0].Revision
+			for i, item := range failure.Current {
+				if item.Revision != txn.Conditions[i].Revision {
+					result.Changed = append(result.Changed, item.Key)
+				}
+			}
 		case *store.RejectedError:
 			result.Status = ownership.WriteRejected
 		default:
@@ -154,6 +175,20 @@
 	case noOwnEpochCondition:
 		kept := txn.Conditions[:1:1]
 		txn.Conditions = append(kept, txn.Conditions[2:]...)
+	case eraGapMissing:
+		before, _ := h.machine.KnownRecord()
+		record := mustDecode(store.Item{Revision: 1, Value: txn.Puts[0].Value})
+		if before == nil || before.Era >= record.Era {
+			return txn
+		}
+		record.Generation = before.Generation + 1
+		record.EraGeneration = record.Generation
+		lowered := record.Keys.Clone()
+		for span, a := range lowered.Runs() {
+			a.Fence = min(a.Fence, record.Generation)
+			record.Keys.Set(span, a)
+		}
+		txn.Puts = []store.Put{{Key: txn.Puts[0].Key, Value: encodeRecord(record)}}
 	case fenceNotRaised:
 		before, _ := h.machine.KnownRecord()
 		record := mustDecode(store.Item{Revision: 1, Value: txn.Puts[0].Value})
@@ -165,16 +200,20 @@
 			a.Fence = before.Keys.At(span.From).Fence
 			record.Keys.Set(span, a)
 		}
-		data, err := record.Encode()
-		if err != nil {
-			panic(err)
-		}
-		txn.Puts = []store.Put{{Key: txn.Puts[0].Key, Value: data}}
+		txn.Puts = []store.Put{{Key: txn.Puts[0].Key, Value: encodeRecord(record)}}
 	default:
 	}
 	return txn
 }
 
+func encodeRecord(record *ownership.Record) []byte {
+	data, err := record.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
 // hostIndex returns the index of a host in the simulation.
 func hostIndex(id ownership.HostID) int { return int(id[1] - '0') }
 
@@ -196,14 +235,14 @@
 			if err == nil && presence.Revision != 0 && !isFalseSuspicion {
 				return &store.ConflictError{}
 			}
-			_, lease, err := membership.DecodeEpoch(item.Value)
-			if err != nil || sim.mutation == leaseNotEnded {
+			stored, err := membership.DecodeEpoch(item.Value)
+			if err != nil || sim.mutation == leaseNotEnded || stored.Era < sim.store.Era() {
 				return err
 			}
 			if sim.random.IntN(3) == 0 { // the lost host is partitioned at this moment and does not learn that its lease ended
 				sim.hosts[hostIndex(lost)].partitionedUntil = sim.now + simTiming().AuthorityTime
 			}
-			return sim.store.Revoke(ctx, lease)
+			return sim.store.Revoke(ctx, stored.Lease)
 		}, func(err error) {
 			if err != nil {
 				fail()
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -34,6 +34,9 @@
 	monotonicClock            // a host's clock stops while the host is suspended
 	holdBeyondAuthority       // holds are granted for the full HoldTime, whatever is left of the authority
 	fenceNotRaised            // keys get new owners without higher fences
+	restoreUnnoticed          // hosts do not observe the era of the store
+	noSettlementWait          // hosts do not wait for the authority of those that do not know of a restore
+	eraGapMissing             // the first record of an era does not skip the generations that may have been lost
 
 	mutationCount
 )
@@ -42,6 +45,7 @@
 	"none", "no wait for the authority", "lease not ended", "lost epoch not in the conditions", "no fresh read",
 	"own epoch not in the conditions", "authority from the answer", "restarted daemon grants immediately",
 	"unconfirmed write forgotten", "monotonic clock", "hold beyond authority", "fence not raised",
+	"restore unnoticed", "no wait after a restore", "no gap between eras",
 }
 
 // Durations of the simulation, a tenth of the default ones.
@@ -54,6 +58,8 @@
 	clockSkew = 0.02
 	// presenceNoticeTicks is how many ticks pass on average until a host learns that the store has lost its presence.
 	presenceNoticeTicks = 60
+	// maxCopyAge is how many copies back the store is restored at most.
+	maxCopyAge = 5
 )
 
 func simTiming() ownership.Timing {
@@ -130,6 +136,8 @@
 	registrar *membership.Registrar
 	epoch     ownership.Epoch
 	server    simServer
+	// published is the newest record that the daemon has sent to others.
+	published ownership.RecordUpdated
 }
 
 // simulation simulates three hosts and a store, with random delays and faults.
@@ -145,13 +153,17 @@
 	order    int
 
 	storeDownUntil time.Duration
-	instanceCount  int64
+	// copies are the copies of the store, the newest last.
+	copies        []*store.MemoryCopy
+	instanceCount int64
 	// lastHolder and lastFence are the last holder of each key and its fence.
 	lastHolder keyspace.Map[ownership.Instance]
 	lastFence  keyspace.Map[ownership.Fence]
 	failure    string
 	takeovers  int
 	moves      int
+	// recoveries counts the records that were put in force again after a restore of the store.
+	recoveries int
 	faultsOff  bool
 	isTraced   bool
 	trace      []string
@@ -178,10 +190,39 @@
 		sim.scheduleEvery(h, tickInterval, func() { sim.tick(h) })
 		sim.heartbeatLoop(h)
 	}
+	sim.copyLoop()
 	sim.faultLoop()
 	return sim
 }
 
+// copyLoop copies the store from time to time.
+func (sim *simulation) copyLoop() {
+	sim.copies = append(sim.copies, sim.store.Copy())
+	sim.schedule(time.Duration(sim.random.Int64N(int64(400*time.Millisecond))), sim.copyLoop)
+}
+
+// restoreStore restores the store from one of the newest copies. The daemons learn of it from the answers of the store.
+func (sim *simulation) restoreStore() {
+	age := min(len(sim.copies), 1+sim.random.IntN(maxCopyAge))
+	sim.store.Restore(sim.copies[len(sim.copies)-age])
+	sim.copies = sim.copies[:len(sim.copies)-age+1]
+	sim.tracef("store restored: era %d", sim.store.Era())
+}
+
+// observeEra tells a daemon the era that an answer of the store stated.
+func (sim *simulation) observeEra(h *simHost, era store.Era) {
+	if sim.mutation == restoreUnnoticed {
+		return
+	}
+	now := sim.bootTime(h)
+	seen := now
+	if sim.mutation == noSettlementWait {
+		seen = now.Add(-time.Second)
+	}
+	sim.applyEffects(h, h.machine.EraObserved(seen, era))
+	sim.applyRegistrarEffects(h, h.registrar.EraObserved(now, era))
+}
+
 // writeInitialRecord writes a first record with few runs of keys, which keeps walks short.
 func (sim *simulation) writeInitialRecord() {
 	record := &ownership.Record{Service: "s", Generation: 1}
@@ -195,11 +236,7 @@
 			Fence: 1,
 		})
 	}
-	data, err := record.Encode()
-	if err != nil {
-		panic(err)
-	}
-	put := store.Txn{Puts: []store.Put{{Key: sim.layout.Record("s"), Value: data}}}
+	put := store.Txn{Puts: []store.Put{{Key: sim.layout.Record("s"), Value: encodeRecord(record)}}}
 	if _, err := sim.store.Commit(context.Background(), put); err != nil {
 		panic(err)
 	}
@@ -279,28 +316,30 @@
 func (sim *simulation) callStore(h *simHost, do func() error, done func(err error)) {
 	daemonRun := h.daemonRun
 	isDone := false
-	finish := func(err error) {
+	finish := func(err error, era store.Era) {
 		sim.runOnDaemon(h, daemonRun, func() {
 			if !isDone {
 				isDone = true
+				sim.observeEra(h, era)
 				done(err)
 			}
 		})
 	}
 	timeout := &store.IndeterminateError{Call: "call", Cause: context.DeadlineExceeded}
-	sim.schedule(70*time.Millisecond, func() { finish(timeout) })
+	sim.schedule(70*time.Millisecond, func() { finish(timeout, 0) })
 	sim.schedule(sim.delay(), func() {
 		if sim.now < sim.storeDownUntil || sim.now < h.partitionedUntil {
 			if sim.random.IntN(2) == 0 {
-				sim.schedule(sim.delay(), func() { finish(&store.RejectedError{Call: "call", Cause: "down"}) })
+				sim.schedule(sim.delay(), func() { finish(&store.RejectedError{Call: "call", Cause: "down"}, 0) })
 			}
 			return
 		}
 		err := do()
+		era := sim.store.Era()
 		if sim.random.IntN(12) == 0 && !sim.faultsOff {
 			return // the answer is lost
 		}
-		sim.schedule(sim.delay(), func() { finish(err) })
+		sim.schedule(sim.delay(), func() { finish(err, era) })
 	})
 }
 
@@ -337,8 +376,8 @@
 	sim.applyEffects(h, h.machine.Tick(now))
 	// Updates of the record spread late, or not at all.
 	other := sim.hosts[sim.random.IntN(hostCount)]
-	if record, revision := other.machine.KnownRecord(); record != nil && sim.random.IntN(3) > 0 {
-		sim.applyEffects(h, h.machine.RecordReceived(now, record, revision))
+	if sent := other.published; sent.Record != nil && sim.random.IntN(3) > 0 {
+		sim.applyEffects(h, h.machine.RecordReceived(now, sent.Record, sent.Revision))
 	}
 	if item, err := sim.store.Get(context.Background(), sim.layout.Presence(h.id)); err == nil && item.Revision == 0 &&
 		sim.random.IntN(presenceNoticeTicks) == 0 {
@@ -387,7 +426,7 @@
 
 func (sim *simulation) injectFault(h *simHost) {
 	length := time.Duration(sim.random.Int64N(int64(1500 * time.Millisecond)))
-	kind := sim.random.IntN(9)
+	kind := sim.random.IntN(10)
 	sim.tracef("%s fault %d for %s", h.id, kind, length)
 	switch kind {
 	case 0: // the daemon restarts while the backend server keeps running
@@ -430,5 +469,10 @@
 			loads[class.Key(sim.random.IntN(1000))] = 0.3
 		}
 		h.machine.SetLoads(loads)
+	case 9: // the store is away for a moment and restored from a copy
+		if sim.random.IntN(2) == 0 {
+			sim.storeDownUntil = max(sim.storeDownUntil, sim.now+length/5)
+			sim.schedule(length/5, sim.restoreStore)
+		}
 	}
 }
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,6 +25,11 @@
 	retryAt      Instant
 }
 
+// requires reports whether the write is conditional on a revision of a key.
+func (p *pendingWrite) requires(key string, revision store.Revision) bool {
+	return slices.Contains(p.txn.Conditions, store.Condition{Key: key, Revision: revision})
+}
+
 //go:generate go tool stringer -type=WriteStatus -linecomment
 
 // WriteStatus is the result of a write.
@@ -62,7 +68,7 @@
 		p.isInFlight = true
 		return []Effect{WriteRecord{Token: p.token, Txn: p.txn}}
 	}
-	if !m.mayAct(now) || now < m.writeNotBefore {
+	if !m.mayWrite(now) || now < m.writeNotBefore {
 		return nil
 	}
 	d := m.composeRecord(now)
@@ -134,6 +140,11 @@
 		return append(append(effects, m.applyRecord(now, result.Record, result.RecordRevision)...), m.step(now)...)
 	}
 	m.pending = nil
+	if ownEpoch := m.layout.Epoch(m.self); slices.Contains(result.Changed, ownEpoch) && p.requires(ownEpoch, m.epochRevision) {
+		// A registration that was sent before a restore of the store may have been applied after the newest one.
+		m.isRegistered = false
+		effects = append(effects, Reregister{})
+	}
 	for host, t := range m.takeovers {
 		if t.hasLeaseEnded {
 			delete(m.takeovers, host) // its epoch or presence has changed: start again with the absence check
@@ -170,10 +181,15 @@
 	if m.record == nil {
 		return m.composeInitial(now, nonce)
 	}
+	if m.isRecordOutdated {
+		return m.composeRestored(nonce)
+	}
 	if !m.mayNeedWrite(now) {
 		return nil
 	}
 	d := &draft{record: m.record.nextGeneration(nonce)}
+	d.record.Era = m.era
+	m.composeSettlement(now, d)
 	m.composeSelf(now, d)
 	m.composeMoves(now, d)
 	m.composeTakeovers(now, d)
@@ -190,7 +206,7 @@
 	if isKnown && (self == NoMember || m.record.Members[self].Instance != m.instance) {
 		return true
 	}
-	if m.isMoving || m.unaccepted.RunCount() > 0 {
+	if m.isMoving || m.unaccepted.RunCount() > 0 || len(m.record.Unsettled) > 0 {
 		return true
 	}
 	for _, t := range m.takeovers {
@@ -211,7 +227,7 @@
 	if now.Sub(m.unchangedSince) < m.timing.SettleTime+time.Duration(index)*m.timing.Stagger {
 		return nil
 	}
-	empty := &Record{Service: m.service}
+	empty := &Record{Service: m.service, Era: m.era}
 	r := empty.nextGeneration(nonce)
 	candidates := m.placementState(empty, "")
 	members := make([]int, len(m.peers))
@@ -245,7 +261,7 @@
 
 // composeSelf adds this host as a member, or raises the fences of its keys for a new instance of its backend server.
 func (m *StateMachine) composeSelf(now Instant, d *draft) {
-	if m.serverState != ServerReady || m.instance == (Instance{}) {
+	if m.serverState != ServerReady || m.instance == (Instance{}) || slices.Contains(d.record.Unsettled, m.self) {
 		return
 	}
 	self := d.record.MemberIndex(m.self)
@@ -259,7 +275,8 @@
 		return
 	}
 	keys := 0
-	for span, a := range m.record.Keys.Runs() {
+	before := d.record.Keys.Clone()
+	for span, a := range before.Runs() {
 		if a.Owner != self {
 			continue
 		}
--- a/peer/store.go
+++ b/peer/store.go
@@ -23,6 +23,8 @@
 	Items    []store.Item   `json:"items,omitempty"`
 	Revision store.Revision `json:"revision,omitempty"`
 	Lease    store.LeaseID  `json:"lease,omitempty"`
+	// Era is the newest era of the store that the peer has observed.
+	Era store.Era `json:"era,omitempty"`
 	// At most one of the following fields is set. It is the error with which the call failed.
 	Conflict   bool          `json:"conflict,omitempty"`
 	LeaseEnded store.LeaseID `json:"lease_ended,omitempty"`
@@ -30,9 +32,15 @@
 	Lost       string        `json:"lost,omitempty"`
 }
 
+// DirectStore is a store that observes its era.
+type DirectStore interface {
+	store.Store
+	Era() store.Era
+}
+
 // ExecuteStoreCall makes a peer's call to the store. The store must not be a RelayedStore, because a call is forwarded
 // once at most.
-func ExecuteStoreCall(ctx context.Context, s store.Store, c StoreCall) StoreResult {
+func ExecuteStoreCall(ctx context.Context, s DirectStore, c StoreCall) StoreResult {
 	var result StoreResult
 	var err error
 	switch {
@@ -56,6 +64,7 @@
 		err = &store.RejectedError{Call: "for a peer", Cause: "the request names no call"}
 	}
 	result.setError(err)
+	result.Era = s.Era()
 	return result
 }
 
@@ -105,6 +114,8 @@
 type RelayedStore struct {
 	// Address is the control address of the peer.
 	Address string
+	// OnEra is called with the era that the peer has observed, before the result of a call is returned.
+	OnEra func(era store.Era)
 }
 
 // call sends a StoreCall to the peer and decodes its result.
@@ -113,6 +124,7 @@
 	if err := request(ctx, s.Address, methodStore, c, &result); err != nil {
 		return result, &store.IndeterminateError{Call: "by a peer", Cause: err}
 	}
+	s.OnEra(result.Era)
 	return result, result.toError()
 }
 
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/standin/deployment"
+	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
 const (
@@ -29,6 +30,8 @@
 type scriptSession struct {
 	deployment *deployment.Deployment
 	load       *deployment.Load
+	// storeCopy is the copy of the store that the script made last.
+	storeCopy *store.MemoryCopy
 }
 
 // sessionKey is the key of the session in the values of a script's environment.
@@ -174,8 +177,13 @@
 // setStoreFault implements "store down|lapse|up|compact". "down" and "lapse" make the store unavailable until "up":
 // with "down" leases are extended by the outage, with "lapse" they expire. "compact" discards the store's history.
 func setStoreFault(ts *testscript.TestScript, _ bool, args []string) {
-	d := sessionOf(ts).deployment
+	s := sessionOf(ts)
+	d := s.deployment
 	switch args[0] {
+	case "copy":
+		s.storeCopy = d.CopyStore()
+	case "restore":
+		ts.Check(d.RestoreStore(s.storeCopy))
 	case "down":
 		d.TakeStoreDown(false)
 	case "lapse":
@@ -185,7 +193,7 @@
 	case "compact":
 		d.CompactStore()
 	default:
-		ts.Fatalf("store: got %s, expected down, lapse, up or compact", args[0])
+		ts.Fatalf("store: got %s, expected copy, restore, down, lapse, up or compact", args[0])
 	}
 }
 
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -79,7 +79,9 @@
 	faultyStore   *faultyStore
 	storeServer   *http.Server
 	instanceCount atomic.Int64
-	mapAddress    AddressMapper
+	// config is what the operator last wrote to the store.
+	config     atomic.Pointer[[]byte]
+	mapAddress AddressMapper
 }
 
 // networkCount counts the deployments started by this process, so that each of them uses a loopback network of its
@@ -200,7 +202,12 @@
 	if err != nil {
 		return err
 	}
-	_, err = d.memory.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: platform.ConfigKey, Value: data}}})
+	d.config.Store(&data)
+	return d.writeConfig(data)
+}
+
+func (d *Deployment) writeConfig(data []byte) error {
+	_, err := d.memory.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: platform.ConfigKey, Value: data}}})
 	return err
 }
 
@@ -318,6 +325,20 @@
 // BringStoreUp ends the outage that TakeStoreDown began.
 func (d *Deployment) BringStoreUp() { d.faultyStore.bringUp() }
 
+// CopyStore returns a copy of the store for RestoreStore.
+func (d *Deployment) CopyStore() *store.MemoryCopy { return d.memory.Copy() }
+
+// RestoreStore ends an outage with a store that is restored from a copy. What daemons have written since is lost, and
+// what the operator has written is written again.
+func (d *Deployment) RestoreStore(backup *store.MemoryCopy) error {
+	d.memory.Restore(backup)
+	d.faultyStore.bringUp()
+	if newest := d.config.Load(); newest != nil {
+		return d.writeConfig(*newest)
+	}
+	return nil
+}
+
 // SetHostRejected sets whether the store answers all calls from a host's IP address with status 503.
 func (d *Deployment) SetHostRejected(h *Host, isRejected bool) {
 	d.faultyStore.setRejected(h.ip, isRejected)
--- a/store/memory.go
+++ b/store/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 	clock clockwork.Clock
 
 	mu          sync.Mutex
+	era         Era
 	revision    Revision
 	lastLeaseID LeaseID
 	items       map[string]Item
@@ -32,12 +34,90 @@
 
 // NewMemory returns an empty store.
 func NewMemory(clock clockwork.Clock) *Memory {
-	return &Memory{
+	m := &Memory{
 		clock:   clock,
 		items:   map[string]Item{},
 		leases:  map[LeaseID]*memoryLease{},
 		changed: make(chan struct{}),
 	}
+	m.startEra(1, 0)
+	return m
+}
+
+// startEra starts an era at a change counter. The revisions of all items move to this era.
+func (m *Memory) startEra(era Era, counter uint64) {
+	m.era = era
+	m.revision = m.currentEra(counter)
+	for key, item := range m.items {
+		item.Revision = m.currentEra(item.Revision.Counter())
+		m.items[key] = item
+	}
+	for i, item := range m.history {
+		m.history[i].Revision = m.currentEra(item.Revision.Counter())
+	}
+	m.compactedRevision = m.currentEra(m.compactedRevision.Counter())
+}
+
+// currentEra returns the revision with a counter in the present era.
+func (m *Memory) currentEra(counter uint64) Revision {
+	revision, err := NewRevision(m.era, counter)
+	if err != nil {
+		panic(err) // unreachable: a test does not restore or change a store that often
+	}
+	return revision
+}
+
+// Era returns the era of the store. It rises with each restore.
+func (m *Memory) Era() Era {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
+// MemoryCopy is a copy of a Memory from which it can be restored.
+type MemoryCopy struct {
+	counter     uint64
+	lastLeaseID LeaseID
+	items       map[string]Item
+	leases      map[LeaseID]memoryLease
+	history     []Item
+	compacted   Revision
+}
+
+// Copy returns a copy of the present state.
+func (m *Memory) Copy() *MemoryCopy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expireLeases()
+	c := &MemoryCopy{
+		counter:     m.revision.Counter(),
+		lastLeaseID: m.lastLeaseID,
+		items:       maps.Clone(m.items),
+		leases:      map[LeaseID]memoryLease{},
+		history:     slices.Clone(m.history),
+		compacted:   m.compactedRevision,
+	}
+	for id, lease := range m.leases {
+		c.leases[id] = *lease
+	}
+	return c
+}
+
+// Restore replaces the state by a copy and starts the next era. Everything that was written since the copy was made is
+// lost, and its revisions and lease IDs are given out again. The leases of the copy continue for their full TTL.
+func (m *Memory) Restore(c *MemoryCopy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastLeaseID = c.lastLeaseID
+	m.items = maps.Clone(c.items)
+	m.history = slices.Clone(c.history)
+	m.compactedRevision = c.compacted
+	m.leases = map[LeaseID]*memoryLease{}
+	for id, lease := range c.leases {
+		m.leases[id] = &memoryLease{ttl: lease.ttl, expiresAt: m.clock.Now().Add(lease.ttl)}
+	}
+	m.startEra(m.era+1, c.counter)
+	m.notifyWatchers()
 }
 
 // Get implements Store.
@@ -91,12 +171,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireLeases()
-	if after < m.compactedRevision {
+	// The store knows counters only: it cannot tell the revisions of an earlier era from its own.
+	if after.Counter() < m.compactedRevision.Counter() || after.Counter() > m.revision.Counter() {
 		return Snapshot{}, nil, &CompactedError{After: after}
 	}
 	snapshot := Snapshot{Revision: m.revision}
 	for _, item := range m.history {
-		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+		if item.Revision.Counter() > after.Counter() && strings.HasPrefix(item.Key, prefix) {
 			snapshot.Items = append(snapshot.Items, item)
 		}
 	}
@@ -118,7 +199,7 @@
 	for _, c := range txn.Conditions {
 		item := m.get(c.Key)
 		current = append(current, item)
-		conflict = conflict || item.Revision != c.Revision
+		conflict = conflict || item.Revision.Counter() != c.Revision.Counter()
 	}
 	if conflict {
 		return 0, &ConflictError{Current: current}
--- a/store/memory_test.go
+++ b/store/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -70,3 +71,44 @@
 	_, err := m.Watch(ctx, "", 1)
 	g.Expect(err).To(gomega.Equal(&store.CompactedError{After: 1}))
 }
+
+// TestRestoredStoreGivesOutRevisionsAgain checks what a restore loses, and that revisions of different eras differ.
+func TestRestoredStoreGivesOutRevisionsAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	m := store.NewMemory(clockwork.NewFakeClock())
+	put := func(value string) store.Revision {
+		revision, err := m.Commit(ctx, store.Txn{Puts: []store.Put{{Key: "a", Value: []byte(value)}}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return revision
+	}
+	put("kept")
+	backup := m.Copy()
+	lost := put("lost")
+	newest := put("lost too")
+	m.Restore(backup)
+	item, err := m.Get(ctx, "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(item.Value).To(gomega.Equal([]byte("kept")))
+	_, err = m.Watch(ctx, "", newest)
+	g.Expect(err).To(gomega.Equal(&store.CompactedError{After: newest}))
+	again := put("new")
+	g.Expect(again.Counter()).To(gomega.Equal(lost.Counter()))
+	g.Expect(again.Era()).To(gomega.Equal(lost.Era() + 1))
+	g.Expect(again).To(gomega.BeNumerically(">", newest), "revisions order the changes across restores")
+}
+
+func TestRevisionsOutOfRange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := store.NewRevision(1, 1<<44)
+	g.Expect(err).To(gomega.Equal(&store.RevisionError{Era: 1, Counter: 1 << 44}))
+	_, err = store.NewRevision(1<<20, 1)
+	g.Expect(err).To(gomega.Equal(&store.RevisionError{Era: 1 << 20, Counter: 1}))
+}
+
+func ExampleRevision() {
+	before, _ := store.NewRevision(1, 900)
+	after, _ := store.NewRevision(2, 17)
+	fmt.Println(before, after, after > before)
+	// Output: 1/900 2/17 true
+}
--- a/store/store.go
+++ b/store/store.go
@@ -9,10 +9,46 @@
 	"time"
 )
 
-// Revision is the store's change counter. An item has the revision of its last change. Zero means that the item does
-// not exist.
+// Era counts the restores of the store. A store that came back from an older copy has lost what it acknowledged since
+// and gives out the same revisions again. Zero means that the store does not state its era.
+type Era uint32
+
+// Revision orders the changes of the store across restores: by its era first, then by the store's change counter. An
+// item has the revision of its last change. Zero means that the item does not exist.
 type Revision uint64
 
+const (
+	counterBits = 44
+	maxCounter  = 1<<counterBits - 1
+	maxEra      = 1<<(64-counterBits) - 1
+)
+
+// NewRevision returns the revision with the given counter in an era. The error is a RevisionError.
+func NewRevision(era Era, counter uint64) (Revision, error) {
+	if era > maxEra || counter > maxCounter {
+		return 0, &RevisionError{Era: era, Counter: counter}
+	}
+	return Revision(uint64(era)<<counterBits | counter), nil
+}
+
+// Era returns the era of the revision.
+func (r Revision) Era() Era { return Era(r >> counterBits) }
+
+// Counter returns the store's change counter at the revision.
+func (r Revision) Counter() uint64 { return uint64(r & maxCounter) }
+
+func (r Revision) String() string { return fmt.Sprintf("%d/%d", r.Era(), r.Counter()) }
+
+// RevisionError reports an era or a change counter that is too large.
+type RevisionError struct {
+	Era     Era
+	Counter uint64
+}
+
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("revision %d of era %d is out of range", e.Counter, e.Era)
+}
+
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID uint64
 
@@ -53,6 +89,15 @@
 	Removes    []string
 }
 
+// Era returns the newest era of the revisions that the conditions require, or zero.
+func (t Txn) Era() Era {
+	newest := Era(0)
+	for _, c := range t.Conditions {
+		newest = max(newest, c.Revision.Era())
+	}
+	return newest
+}
+
 // Store is the key-value service. It is safe for concurrent use.
 type Store interface {
 	// Get returns an item. An item that does not exist has revision zero.
@@ -81,6 +126,17 @@
 	return fmt.Sprintf("transaction not applied: revision conflict among %d items", len(e.Current))
 }
 
+// RestoredError reports that the store was restored before it executed a transaction whose conditions refer to an
+// earlier era. The transaction may have been applied, but to other values than those that it was composed for.
+type RestoredError struct {
+	// Sent is the era of the conditions, and Current that of the store.
+	Sent, Current Era
+}
+
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("transaction of era %d: the store was restored and is in era %d", e.Sent, e.Current)
+}
+
 // LeaseEndedError reports that a lease has ended or never existed. The call that needed it had no effect.
 type LeaseEndedError struct{ Lease LeaseID }
 
