--- a/soak/faults.go
+++ b/soak/faults.go
@@ -93,6 +93,7 @@
 			revert: dropStoreResponses(0),
 		},
 		{name: "store compacts", inject: compactStore},
+		{name: "store restored", delaysConfig: everywhere, inject: copyStore, revert: restoreStore},
 		{name: "configuration", inject: publishConfig},
 	}
 }
@@ -206,6 +207,20 @@
 
 func compactStore(r *runner, _ *deployment.Host) { r.deployment.CompactStore() }
 
+// copyStore copies the store, which then goes on.
+func copyStore(r *runner, _ *deployment.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeCopy = r.deployment.CopyStore()
+}
+
+// restoreStore restores the store from its newest copy.
+func restoreStore(r *runner, _ *deployment.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reportHarnessError(r.deployment.RestoreStore(r.storeCopy))
+}
+
 // publishConfig writes a newer configuration with longer timeouts.
 func publishConfig(r *runner, _ *deployment.Host) {
 	r.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/standin/deployment"
+	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
 // Options are the settings of one soak run.
@@ -69,6 +70,8 @@
 	// version is the version of the newest configuration.
 	version   class.Version
 	published []publishedConfig
+	// storeCopy is the newest copy of the store.
+	storeCopy *store.MemoryCopy
 }
 
 // injection is a fault and the time during which it was injected into a host. A zero end (to) means that the fault is
