fix(ownership): a host that learns late of a restore does not wait again

Callers of a host that was suspended, or whose daemon restarted, during a restore were refused for 8.2 s more than necessary. Cause: each host counted the time in which authority of the earlier era may be left from when it learned of the era itself. Change: the first host for which the time has passed notes it in the record.

--- a/ownership/record.go
+++ b/ownership/record.go
@@ -48,8 +48,11 @@
 	// Unsettled contains the members whose assignments of earlier eras are not confirmed in this one. Assignments that
 	// were lost when the store was restored may still be in force at other hosts.
 	Unsettled []HostID
-	Members   []Member
-	Keys      keyspace.Map[Assignment]
+	// IsEraSettleable means that no host acts on assignments of earlier eras any more, because all authority from before
+	// the restore has expired.
+	IsEraSettleable bool
+	Members         []Member
+	Keys            keyspace.Map[Assignment]
 	// Nonce lets the writer recognize its own record.
 	Nonce string
 }
@@ -100,6 +103,8 @@
 		Members:       slices.Clone(r.Members),
 		Keys:          r.Keys.Clone(),
 		Nonce:         nonce,
+
+		IsEraSettleable: r.IsEraSettleable,
 	}
 }
 
@@ -149,9 +154,10 @@
 	Members    []Member      `json:"members"`
 	Nonce      string        `json:"nonce"`
 	Era        store.Era     `json:"era,omitempty"`
-	// EraGeneration and Unsettled are present only after the store was restored.
-	EraGeneration Fence    `json:"era_generation,omitempty"`
-	Unsettled     []HostID `json:"unsettled,omitempty"`
+	// The fields below are present only after the store was restored.
+	EraGeneration   Fence    `json:"era_generation,omitempty"`
+	Unsettled       []HostID `json:"unsettled,omitempty"`
+	IsEraSettleable bool     `json:"settleable,omitempty"`
 }
 
 // maxRecordBytes limits the decompressed size of a record. It allows for one row with a handover token per key.
@@ -177,6 +183,8 @@
 		Era:           r.Era,
 		EraGeneration: r.EraGeneration,
 		Unsettled:     r.Unsettled,
+
+		IsEraSettleable: r.IsEraSettleable,
 	})
 	if err != nil {
 		return nil, &RecordError{Reason: err.Error()}
@@ -240,6 +248,8 @@
 		Unsettled:     decoded.Unsettled,
 		Members:       decoded.Members,
 		Nonce:         decoded.Nonce,
+
+		IsEraSettleable: decoded.IsEraSettleable,
 	}
 	rows := rowReader{rest: body, generation: decoded.Generation, members: len(decoded.Members)}
 	for len(rows.rest) > 0 {
--- a/ownership/restore.go
+++ b/ownership/restore.go
@@ -47,7 +47,7 @@
 	next.Era = era
 	next.Generation += eraGap * Fence(era-r.Era)
 	next.EraGeneration = next.Generation
-	next.Unsettled = nil
+	next.Unsettled, next.IsEraSettleable = nil, false
 	for _, member := range next.Members {
 		next.Unsettled = append(next.Unsettled, member.Host)
 	}
@@ -192,6 +192,11 @@
 		return
 	}
 	m.composeClaims(d)
+	if !d.record.IsEraSettleable && now >= m.settlesAt {
+		// A host that learned of the restore later, or has restarted since, need not wait as long.
+		d.record.IsEraSettleable = true
+		d.isChanged = true
+	}
 	if !slices.Contains(d.record.Unsettled, m.self) {
 		return
 	}
@@ -209,7 +214,7 @@
 			}
 		}
 	}
-	if len(foreign) > 0 && now < m.settlesAt {
+	if len(foreign) > 0 && !d.record.IsEraSettleable {
 		return
 	}
 	for _, span := range foreign {
--- a/ownership/restore_test.go
+++ b/ownership/restore_test.go
@@ -1,6 +1,7 @@
 package ownership_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -105,3 +106,19 @@
 	m.RecordReceived(now, late, revisionIn(t, 1, 90))
 	g.Expect(known).To(gomega.Equal(func() *ownership.Record { r, _ := m.KnownRecord(); return r }()))
 }
+
+// TestHostThatLearnsLateOfARestoreDoesNotWait guards against a host that waits as long as the others although they have
+// found that no authority of the earlier era is left.
+func TestHostThatLearnsLateOfARestoreDoesNotWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	written := stripedRecord(4, 9)
+	written.Era, written.Generation, written.EraGeneration = 2, 1<<25, 1<<25
+	written.Unsettled, written.IsEraSettleable = []ownership.HostID{"a"}, true
+	m := ownership.NewStateMachine(0, "a", "s", ownership.StoreLayout{}, ownership.DefaultTiming(), rand.New(rand.NewPCG(1, 1)))
+	now := ownership.Instant(time.Minute)
+	m.EraObserved(now, 2)
+	m.Registered(now, now, 1, revisionIn(t, 2, 31))
+	settled := decodeWrite(g, findWrite(m.ReadDone(now, 1, written, revisionIn(t, 2, 30), true)))
+	g.Expect(settled.Unsettled).To(gomega.BeEmpty())
+	g.Expect(settled.Keys.At(0).Fence).To(gomega.Equal(settled.Generation))
+}
