fix: a request that crashes servers is held back

Cause: nothing connected the end of a server with the requests that it was running. Each copy of the request was a new one to every daemon, and the relay's own retry made one crash two. Class of fault: a failure that repeats because its cause is not remembered.

Change: the daemon beside a server that ended reports the requests that were running. All daemons learn of it. Suspected requests run one at a time on a server, so that the second crash has one cause; from then on the request is held back. An answer clears a request everywhere. Why it works: a deadly request is never answered, and an innocent one that comes again is.

--- a/backend/client.go
+++ b/backend/client.go
@@ -8,10 +8,12 @@
 	"errors"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -36,6 +38,7 @@
 
 // Client sends calls to one backend server.
 type Client struct {
+	address     string
 	headerNames call.HeaderNames
 	clock       clockwork.Clock
 	pool        *link.Pool
@@ -46,7 +49,7 @@
 func NewClient(
 	address string, maxIdle int, headerNames call.HeaderNames, onDial func(), clock clockwork.Clock,
 ) *Client {
-	return &Client{headerNames: headerNames, clock: clock, pool: link.NewPool(address, link.Options{
+	return &Client{address: address, headerNames: headerNames, clock: clock, pool: link.NewPool(address, link.Options{
 		DialTimeout:  dialTimeout,
 		AckTimeout:   ackTimeout,
 		IdleTimeout:  idleTimeout,
@@ -59,6 +62,16 @@
 // Close closes the idle connections.
 func (client *Client) Close() { client.pool.Close() }
 
+// HasEnded reports whether no process listens at the server's address.
+func (client *Client) HasEnded(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", client.address)
+	if err == nil {
+		_ = conn.Close() // only whether connecting succeeds matters
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Do sends a call once to the given instance of the backend server and returns its result. An empty instance means any.
 func (client *Client) Do(ctx context.Context, c call.Call, instance string) call.Result {
 	remainingMS := c.Deadline.Sub(client.clock.Now()).Milliseconds()
@@ -78,13 +91,21 @@
 		return echoedID == string(c.ID) || isUnidentifiedRejection
 	})
 	if err != nil {
-		return ErrorResult(ctx, err, !client.clock.Now().Before(c.Deadline))
+		result := ErrorResult(ctx, err, !client.clock.Now().Before(c.Deadline))
+		result.IsDisconnected = isDisconnection(err)
+		return result
 	}
 	result := client.parseResponse(response)
 	result.Notice = client.parseNotice(response.Header)
 	return result
 }
 
+// isDisconnection reports whether an error means that the other side closed the connection.
+func isDisconnection(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE)
+}
+
 // parseNotice returns what the server states about itself in the headers of a response.
 func (client *Client) parseNotice(header http.Header) *call.Notice {
 	notice := &call.Notice{
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -14,6 +14,8 @@
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/quarantine"
 )
 
 // Permit states which calls a daemon may currently send to its backend server. The control goroutine replaces it as a
@@ -21,8 +23,12 @@
 type Permit struct {
 	// IsUsable reports whether the server accepts new calls.
 	IsUsable bool
-	// Instance is the server instance (one run of its process) that the calls are meant for.
-	Instance string
+	// Instance is the ID of the server instance (one run of its process) that the calls are meant for, and ServerInstance
+	// that instance.
+	Instance       string
+	ServerInstance ownership.Instance
+	// IsLeaving reports whether the server has announced its end.
+	IsLeaving bool
 	// IsKeyed reports whether calls with a key are limited to Keys, until KeysValidUntil.
 	IsKeyed bool
 	// Keys maps the keys that the server holds to true.
@@ -64,10 +70,17 @@
 	// isAssigned is nil if calls never wait for their key.
 	isAssigned     AssignmentCheck
 	noticeObserver NoticeObserver
+	quarantine     *quarantine.List
+	host           ownership.HostID
+	onReport       CrashObserver
+	// isolation holds a value while a suspected call runs.
+	isolation chan struct{}
 
 	mu sync.Mutex
 	// stated is what the server at the current client stated about itself.
 	stated notices
+	// lostCalls contains the calls whose connection to the server at the current client broke.
+	lostCalls []lostCall
 	// demand and totalDemand hold the run time that calls asked for, by key and in total, since TakeDemand last reset
 	// them.
 	demand      map[class.Key]time.Duration
@@ -94,6 +107,9 @@
 		onUnreachable: onUnreachable,
 		demand:        map[class.Key]time.Duration{},
 		stated:        newNotices(),
+		quarantine:    quarantine.NewList(clock),
+		onReport:      func(quarantine.Report, class.RequestID) {},
+		isolation:     make(chan struct{}, 1),
 		noticeObserver: NoticeObserver{
 			RateLimitChanged: func(RateLimitChange) {},
 			Leaving:          func(string, class.RequestID) {},
@@ -108,12 +124,17 @@
 func (r *Runner) SetPermit(p Permit, client *Client) {
 	r.mu.Lock()
 	old := r.current.Swap(&activePermit{Permit: p, client: client, replaced: make(chan struct{})})
+	var lost []lostCall
 	if old.client != nil && client != old.client {
+		lost = r.takeLostCalls(old.IsLeaving)
 		// The client is replaced with the instance of the server, and another instance may accept more.
 		r.stated = newNotices()
 		r.controller.SetRateLimit(rate.Inf)
 	}
 	r.mu.Unlock()
+	for _, l := range lost {
+		r.reportCrash(l)
+	}
 	if p.Concurrency != old.Concurrency && p.Concurrency > 0 {
 		r.controller.SetConcurrency(p.Concurrency)
 	}
@@ -190,7 +211,21 @@
 func (r *Runner) admit(ctx context.Context, c call.Call) call.Result {
 	now := r.clock.Now()
 	keyDeadline := now.Add(time.Duration(keyWaitShare * float64(c.Deadline.Sub(now))))
+	isIsolated := false
 	for {
+		verdict := r.quarantineVerdict(c)
+		if !verdict.HeldUntil.IsZero() {
+			return r.heldResult(verdict)
+		}
+		if verdict.IsSuspected && !isIsolated {
+			release := r.isolate(ctx, c)
+			if release == nil {
+				return call.NotRun(call.Overload)
+			}
+			defer release()
+			isIsolated = true
+			continue // the call before it may have ended the server
+		}
 		permit := r.current.Load()
 		if r.IsRejecting() || permit.client == nil || !permit.IsUsable {
 			return call.NotRun(call.NotOwner)
@@ -202,6 +237,10 @@
 			return call.NotRun(call.NotOwner)
 		}
 		ticket, err := r.controller.Acquire(ctx, c.Class, c.Deadline, permit.replaced)
+		if err == nil && !isIsolated && r.quarantineVerdict(c).IsSuspected {
+			ticket.Cancel()
+			continue
+		}
 		if err == nil {
 			return r.dispatch(ctx, c, ticket)
 		}
@@ -287,7 +326,13 @@
 	result := permit.client.Do(ctx, c, permit.Instance)
 	r.running.Add(-1)
 	r.observeNotice(permit, c, start, result)
-	if result.Reason == call.Unreachable {
+	switch {
+	case result.Reason == call.Unreachable:
+		r.onUnreachable()
+	case result.Outcome == class.Answered:
+		r.observeSurvival(c)
+	case result.IsDisconnected && result.Reason == call.AnswerLost && r.observeLostAnswer(ctx, permit, c):
+		result.Reason = call.ServerEnded
 		r.onUnreachable()
 	}
 	r.addDemand(c, r.clock.Since(start))
--- a/call/call.go
+++ b/call/call.go
@@ -30,6 +30,8 @@
 	Deadline time.Time
 	// IsRetry reports whether an earlier attempt may have reached a backend server.
 	IsRetry bool
+	// IsSuspected reports whether a backend server ended during an earlier attempt.
+	IsSuspected bool
 }
 
 //go:generate go tool stringer -type=Reason -linecomment
@@ -63,11 +65,15 @@
 	Refused // refused
 	// Shed means that the backend server rejected the call before it started it, because it was overloaded.
 	Shed // shed
+	// Quarantined means that the call is held back, because backend servers ended while they ran the same request.
+	Quarantined // quarantined
 	// Unreachable means that no connection to the next hop could be made, so nothing was sent.
 	Unreachable // unreachable
 	// AnswerLost means that the call was sent, at least in part, and no complete response that is known to come from a
 	// backend server was received.
 	AnswerLost // answer_lost
+	// ServerEnded means that the backend server's process ended while the call was running.
+	ServerEnded // server_ended
 	// TimedOut means that the call was sent and its deadline passed before the response.
 	TimedOut // timed_out
 	// CallerGone means that the caller disconnected.
@@ -112,6 +118,8 @@
 	Load *Load
 	// Notice is what the backend server stated about itself, or nil if it sent no response.
 	Notice *Notice
+	// IsDisconnected reports whether the backend server closed the connection without a complete response.
+	IsDisconnected bool
 }
 
 // Load is the load of a backend server and the admission queue before it.
--- a/call/reason_string.go
+++ b/call/reason_string.go
@@ -20,15 +20,17 @@
 	_ = x[Late-9]
 	_ = x[Refused-10]
 	_ = x[Shed-11]
-	_ = x[Unreachable-12]
-	_ = x[AnswerLost-13]
-	_ = x[TimedOut-14]
-	_ = x[CallerGone-15]
+	_ = x[Quarantined-12]
+	_ = x[Unreachable-13]
+	_ = x[AnswerLost-14]
+	_ = x[ServerEnded-15]
+	_ = x[TimedOut-16]
+	_ = x[CallerGone-17]
 }
 
-const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredclosingno_servernot_owneroverloadlaterefusedshedunreachableanswer_losttimed_outcaller_gone"
+const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredclosingno_servernot_owneroverloadlaterefusedshedquarantinedunreachableanswer_lostserver_endedtimed_outcaller_gone"
 
-var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 58, 67, 76, 84, 88, 95, 99, 110, 121, 130, 141}
+var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 58, 67, 76, 84, 88, 95, 99, 110, 121, 132, 144, 153, 164}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/call/write.go
+++ b/call/write.go
@@ -91,6 +91,9 @@
 		return http.StatusBadRequest, "The request is incomplete. Nothing was done."
 	case result.Reason == TooLarge:
 		return http.StatusRequestEntityTooLarge, "The request is too large. Nothing was done."
+	case result.Reason == Quarantined:
+		return http.StatusServiceUnavailable,
+			"This request has failed several times, and we hold it back for a while. Nothing was done."
 	default:
 		return http.StatusServiceUnavailable, "We are busy. Nothing was done; please try again in a moment."
 	}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/quarantine"
 )
 
 const (
@@ -50,6 +51,7 @@
 	budget       *Budget
 	offers       *offerBudget
 	leaving      leavingServers
+	quarantine   *quarantine.List
 	onUnanswered func(Attempt)
 }
 
@@ -66,6 +68,7 @@
 		balancer:     newBalancer(domain, clock, rand.New(rand.NewPCG(seed, 1))),
 		budget:       budget,
 		offers:       newOfferBudget(),
+		quarantine:   quarantine.NewList(clock),
 		leaving:      leavingServers{clock: clock, since: map[ownership.HostID]leavingServer{}},
 		onUnanswered: onUnanswered,
 	}
@@ -77,6 +80,9 @@
 	r.leaving.header, r.leaving.usableTime = header, usableTime
 }
 
+// HoldBack makes the relay send no calls that the list holds back. It must be called before the first call.
+func (r *Relay) HoldBack(list *quarantine.List) { r.quarantine = list }
+
 // PruneServers forgets what was learned about servers that are not in the routes.
 func (r *Relay) PruneServers(routes Routes) {
 	r.balancer.prune(routes)
@@ -126,6 +132,9 @@
 			}
 			continue
 		}
+		if r.isHeld(state) {
+			return r.finalResult(ctx, state)
+		}
 		if state.sentAttempts > 0 && !r.budget.Spend(c.Service) {
 			return r.finalResult(ctx, state)
 		}
@@ -145,6 +154,20 @@
 	}
 }
 
+// isHeld reports whether the call is held back, and records that as the result.
+func (r *Relay) isHeld(state *callState) bool {
+	if r.quarantine.IsEmpty() {
+		return false
+	}
+	until := r.quarantine.Verdict(state.call.Fingerprint()).HeldUntil
+	if until.IsZero() {
+		return false
+	}
+	state.lastResult = call.NotRun(call.Quarantined)
+	state.lastResult.RetryAfter = until.Sub(r.clock.Now())
+	return true
+}
+
 // selectServer returns the server for the next attempt, or nil if there is none.
 func (r *Relay) selectServer(route *ServiceRoute, state *callState) *Server {
 	if route == nil {
@@ -218,6 +241,7 @@
 		state.sentAttempts++
 	}
 	state.mayHaveRun = state.mayHaveRun || result.Outcome == class.Unknown
+	state.call.IsSuspected = state.call.IsSuspected || result.Reason == call.ServerEnded
 	if isRejection(result) {
 		state.recordRejection(result.RetryAfter)
 	} else if result.Outcome != class.NotRun {
@@ -249,8 +273,8 @@
 	case class.NotRun:
 		return r.chooseActionNotRun(state, hasAttempts)
 	case class.Unknown:
-		if state.call.Class.Idempotent && hasAttempts && state.lastResult.Reason == call.AnswerLost &&
-			r.hasTimeToRetry(state) {
+		isLost := state.lastResult.Reason == call.AnswerLost || state.lastResult.Reason == call.ServerEnded
+		if state.call.Class.Idempotent && hasAttempts && isLost && r.hasTimeToRetry(state) {
 			return retryNow
 		}
 		return finishCall
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -93,7 +93,10 @@
 	routesUpdatedAt ownership.Instant
 	isShuttingDown  bool
 	isPulling       bool
-	peersUpdatedAt  ownership.Instant
+	// isPullingReports and nextReportExpiryAt concern the reports about requests during which backend servers crashed.
+	isPullingReports   bool
+	nextReportExpiryAt ownership.Instant
+	peersUpdatedAt     ownership.Instant
 }
 
 func newControl(
@@ -187,6 +190,7 @@
 	c.gossipTick(now)
 	c.updateDataPlane(now)
 	c.reportUsage(now)
+	c.expireReports(now)
 }
 
 // updateDataPlane applies the control state to the data plane: routes, peers, the pending heartbeat and the permit. Routes
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/peer"
 	"github.com/skylarkrelay/skylarkrelay/platform"
+	"github.com/skylarkrelay/skylarkrelay/quarantine"
 	"github.com/skylarkrelay/skylarkrelay/settings"
 	"github.com/skylarkrelay/skylarkrelay/store"
 	"github.com/skylarkrelay/skylarkrelay/timeline"
@@ -50,6 +51,7 @@
 	control       *control
 	callerHandler *caller.Handler
 	runner        *backend.Runner
+	quarantine    *quarantine.List
 	hops          *peer.HopClient
 	callerServer  *limitedServer
 	options       Options
@@ -69,6 +71,7 @@
 		options:  o,
 		events:   timeline.NewRecorder(string(s.Host), s.Timeline.Events, o.Clock),
 	}
+	d.quarantine = quarantine.NewList(o.Clock)
 	d.observer = newObserver(o.Log, d.registry, d.events, o.Clock, s.Log.LinesPerSecond)
 	seed := rand.Uint64()
 	admissionController := admission.NewController(
@@ -82,6 +85,7 @@
 		},
 		Invalid: func(err error) { d.observer.inputRejected("backend server", err) },
 	})
+	d.runner.Quarantine(d.quarantine, s.Host, d.crashReported)
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock)
 	table := caller.NewTable()
 	d.runner.WaitForKeys(func(key class.Key) (bool, <-chan struct{}) {
@@ -96,6 +100,7 @@
 	}, o.Clock)
 	relay := caller.NewRelay(s.FailureDomain, table, sender{self: s.Host, runner: d.runner, hops: d.hops}, budget,
 		d.observer.attemptFailed, o.Clock, seed)
+	relay.HoldBack(d.quarantine)
 	relay.AvoidLeavingServers(platform.Headers().Leaving, usableDrainTime(s.Backend.DrainTime))
 	d.callerHandler = caller.NewHandler(relay, s.Service, platform.Headers(), d.observer.callFinished, o.Clock)
 	d.callerServer = newLimitedServer(d.callerHandler, d.observer.httpErrorLog("caller"))
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -357,7 +357,11 @@
 	if now >= c.gossip.nextDigestAt {
 		c.gossip.nextDigestAt = now.Add(digestInterval)
 		if peerAddress := c.choosePeer(); peerAddress != "" {
-			c.notifier.SendDigest(peerAddress, c.replica.Digest(), c.replica.Get(platform.ConfigKey).Version)
+			c.notifier.SendDigest(peerAddress, peer.Digest{
+				Digest:  c.replica.Digest(),
+				Config:  c.replica.Get(platform.ConfigKey).Version,
+				Reports: c.daemon.quarantine.Digest(),
+			})
 		}
 	}
 	for _, h := range c.roster.Expire(now) {
@@ -400,6 +404,9 @@
 	if config := c.replica.Get(platform.ConfigKey); config.Version > d.Config && d.From != "" {
 		c.push([]string{d.From}, peer.Update{Entries: []membership.Entry{config}})
 	}
+	if d.Reports != 0 && d.Reports != c.daemon.quarantine.Digest() {
+		c.pullReports(d.From)
+	}
 	if c.isPullNeeded(now, d) {
 		c.gossip.mismatches = 0
 		c.pullNewer(d.From)
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -41,7 +41,8 @@
 			applied.Changes = append(applied.Changes, delta)
 		}
 	}
-	if update.Forward && len(applied.Entries)+len(applied.Changes) > 0 {
+	applied.Reports = c.applyReports(update.Reports)
+	if update.Forward && len(applied.Entries)+len(applied.Changes)+len(applied.Reports) > 0 {
 		c.pushLocal(applied)
 	}
 	c.applyAnnouncements(now, update.Announcements, update.Forward)
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/quarantine"
 	"github.com/skylarkrelay/skylarkrelay/store"
 	"github.com/skylarkrelay/skylarkrelay/timeline"
 )
@@ -183,6 +184,39 @@
 	}
 }
 
+// crashReported records a report of this host about a request that was running when the backend server ended, or that a
+// backend server answered after that.
+func (o *observer) crashReported(r quarantine.Report, request class.RequestID, v quarantine.Verdict) {
+	o.counter("quarantine.reports").inc()
+	if !o.allowLine() {
+		return
+	}
+	if r.IsAnswer() {
+		o.log.Info("request cleared: a backend server answered it", "request", request, "fingerprint", r.Request.String())
+		return
+	}
+	o.log.Warn("request was running when the backend server ended", "request", request,
+		"fingerprint", r.Request.String(), "instance", r.Crash.Instance.String(), "crashes", v.Crashes,
+		"held_ms", heldTime(o.clock, v).Milliseconds())
+}
+
+// reportReceived records a report of another host.
+func (o *observer) reportReceived(r quarantine.Report, v quarantine.Verdict) {
+	o.counter("quarantine.reports_received").inc()
+	if o.allowLine() {
+		o.log.Info("report about a request received", "peer", r.Crash.Host, "fingerprint", r.Request.String(),
+			"crashes", v.Crashes, "held_ms", heldTime(o.clock, v).Milliseconds())
+	}
+}
+
+// heldTime returns for how much longer a request is held back.
+func heldTime(clock clockwork.Clock, v quarantine.Verdict) time.Duration {
+	if v.HeldUntil.IsZero() {
+		return 0
+	}
+	return v.HeldUntil.Sub(clock.Now())
+}
+
 // noRateLimit is the value of the gauge of the rate limit if there is none.
 const noRateLimit = -1
 
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -90,6 +90,7 @@
 	state       ownership.ServerState
 	instance    ownership.Instance
 	isUsable    bool
+	isLeaving   bool
 	isKeyed     bool
 	concurrency int
 	client      *backend.Client
@@ -105,6 +106,7 @@
 		state:       s.state,
 		instance:    s.heartbeat.Instance,
 		isUsable:    isUsable,
+		isLeaving:   s.usableUntil != 0,
 		isKeyed:     c.isKeyed(),
 		concurrency: s.heartbeat.Concurrency,
 		client:      s.client,
@@ -117,6 +119,8 @@
 	c.runner.SetPermit(backend.Permit{
 		IsUsable:       isUsable,
 		Instance:       s.heartbeat.Instance.ID,
+		ServerInstance: s.heartbeat.Instance,
+		IsLeaving:      next.isLeaving,
 		IsKeyed:        next.isKeyed,
 		Keys:           keys,
 		KeysValidUntil: clockTime(c.clock, now, until),
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -82,6 +82,7 @@
 	c.post(ctx, func(ownership.Instant) {
 		if address := c.choosePeer(); address != "" {
 			c.pullNewer(address)
+			c.pullReports(address)
 		}
 	})
 	return nil
--- a/peer/control.go
+++ b/peer/control.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/quarantine"
 )
 
 // These are the JSON-RPC methods between daemons.
@@ -21,6 +22,8 @@
 	methodDigest = "digest"
 	methodNewer  = "newer"
 	methodStore  = "store"
+	// methodReports requests the reports about requests that were running when backend servers crashed.
+	methodReports = "reports"
 )
 
 const (
@@ -45,6 +48,8 @@
 	// Config is the version of the configuration. It is sent apart because a configuration has to be in force on all
 	// daemons in time.
 	Config membership.Version `json:"config"`
+	// Reports is the digest of the reports about requests that were running when backend servers crashed.
+	Reports uint64 `json:"reports,omitempty"`
 }
 
 // Update is a gossip message with state that may be new to the receiver.
@@ -59,6 +64,8 @@
 	// by membership.PackAnnouncements.
 	Announcements []membership.Announcement `json:"announcements,omitempty"`
 	Packed        []byte                    `json:"packed,omitempty"`
+	// Reports holds reports about requests that were running when backend servers crashed.
+	Reports []quarantine.Report `json:"reports,omitempty"`
 	// Handover notifies the receiver that a host is about to hand keys over to it.
 	Handover *HandoverNotice `json:"promise,omitempty"`
 	// Forward asks the receiver to forward the update to the other daemons of its failure domain.
@@ -120,9 +127,10 @@
 	return nil
 }
 
-// SendDigest queues a digest of the state that this daemon knows, with its configuration version, for a peer.
-func (n *Notifier) SendDigest(to string, digest membership.Digest, config membership.Version) {
-	n.notify(to, methodDigest, Digest{From: n.from, Digest: digest, Config: config})
+// SendDigest queues a digest of the state that this daemon knows for a peer.
+func (n *Notifier) SendDigest(to string, digest Digest) {
+	digest.From = n.from
+	n.notify(to, methodDigest, digest)
 }
 
 // notify queues a notification for a peer and starts the peer's sender if there is none. It drops the notification if
@@ -256,6 +264,13 @@
 	return entries, err
 }
 
+// FetchReports requests all reports of a peer about requests that were running when backend servers crashed.
+func FetchReports(ctx context.Context, from string) ([]quarantine.Report, error) {
+	var reports []quarantine.Report
+	err := request(ctx, from, methodReports, struct{}{}, &reports)
+	return reports, err
+}
+
 // request makes one JSON-RPC request on a new connection. Requests are rare, and a slow one on a shared connection
 // would delay notifications.
 func request(ctx context.Context, to, method string, params, result any) error {
@@ -277,6 +292,8 @@
 	Digest(d Digest)
 	// Newer returns the entries that are newer here than the given versions.
 	Newer(than membership.Versions) []membership.Entry
+	// Reports returns all reports about requests that were running when backend servers crashed.
+	Reports() []quarantine.Report
 	// Store makes a call to the store for a peer that the store rejects.
 	Store(ctx context.Context, c StoreCall) StoreResult
 	// ReportInvalid reports a message that could not be decoded or answered.
@@ -324,6 +341,8 @@
 		if versions, ok := decode[membership.Versions](r, request); ok {
 			r.reply(ctx, conn, request, r.handler.Newer(versions))
 		}
+	case methodReports:
+		r.reply(ctx, conn, request, r.handler.Reports())
 	case methodStore:
 		if c, ok := decode[StoreCall](r, request); ok {
 			r.reply(ctx, conn, request, r.handler.Store(ctx, c))
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -39,6 +39,8 @@
 	hostHeader       = "Skylark-Hop-Host"
 	// targetHeader is the host that a call is meant for, because the address may have been reassigned to another host.
 	targetHeader = "Skylark-Hop-To"
+	// suspectHeader marks a call during which a backend server ended.
+	suspectHeader = "Skylark-Hop-Suspected"
 )
 
 const (
@@ -206,6 +208,9 @@
 	header.Set(timeLeftHeader, strconv.FormatInt(remaining.Microseconds(), 10))
 	header.Set(classSpecHeader,
 		fmt.Sprintf(specFormat, c.Class.Latency.Microseconds(), c.Class.Rank, c.Class.Idempotent))
+	if c.IsSuspected {
+		header.Set(suspectHeader, "1")
+	}
 	if c.HasKey {
 		header.Set(keyHeader, strconv.Itoa(int(c.Key)))
 	}
@@ -314,6 +319,7 @@
 		return c, &MessageError{Part: classSpecHeader, Cause: err.Error()}
 	}
 	c.Class.Latency = time.Duration(latencyUS) * time.Microsecond
+	c.IsSuspected = r.Header.Get(suspectHeader) != ""
 	if text := r.Header.Get(keyHeader); text != "" {
 		key, err := strconv.ParseUint(text, 10, 16)
 		if err != nil {
--- /dev/null
+++ b/quarantine/list.go
@@ -0,0 +1,237 @@
+// Package quarantine tells which requests are likely to crash the backend server that runs them, and holds them back.
+//
+// A daemon that finds that its server ended while requests were running reports each of them. The reports of all daemons
+// together decide: a request that was running in one crash is suspected, and only one suspected request at a time runs on
+// a server, so that the next crash has one cause. A request that was running in several crashes is held back. An answer
+// from any server clears a request, because a request that crashes servers gets none.
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+)
+
+const (
+	// reportTTL is how long a crash counts against a request, and the time for which a request is held back after
+	// holdCrashes or more crashes.
+	reportTTL = 10 * time.Minute
+	// probationCrashes is the number of crashes from which a request is held back for probationTime, since the last one.
+	// It may then run once more: it may have been running beside the cause of both crashes.
+	probationCrashes = 2
+	probationTime    = 30 * time.Second
+	// holdCrashes is the number of crashes from which a request is held back for reportTTL.
+	holdCrashes = 3
+	// maxClockSkew is how far the clock of a reporting host may be ahead of the local one.
+	maxClockSkew = time.Minute
+	// maxRequests bounds the number of requests with reports.
+	maxRequests = 1024
+	// maxReports bounds the number of crashes that are kept for one request.
+	maxReports = 8
+)
+
+// Crash identifies one end of a backend server's process that no one had announced.
+type Crash struct {
+	Host     ownership.HostID   `json:"host,omitempty"`
+	Instance ownership.Instance `json:"instance"`
+}
+
+// Report states that a request was running on a server when it crashed or, without a Crash, that a server answered it.
+type Report struct {
+	Request call.Fingerprint `json:"request"`
+	Crash   Crash            `json:"crash"`
+	// At is the time of the crash or of the answer by the clock of the host that reports it.
+	At time.Time `json:"at"`
+}
+
+// IsAnswer reports whether the report states that a server answered the request.
+func (r Report) IsAnswer() bool { return r.Crash == Crash{} }
+
+// Verdict is what is known of a request.
+type Verdict struct {
+	// IsSuspected means that the request was running on a server when it crashed, and has not been answered since.
+	IsSuspected bool
+	// HeldUntil is the time until which the request must not be sent to a server. It is zero if it may be sent.
+	HeldUntil time.Time
+	// Crashes is the number of crashes in which it was running.
+	Crashes int
+}
+
+// List holds the reports of all daemons about requests that were running when servers crashed. It is safe for concurrent
+// use.
+type List struct {
+	clock clockwork.Clock
+	// size is the number of requests with reports.
+	size atomic.Int64
+
+	mu       sync.Mutex
+	requests map[call.Fingerprint]*suspect
+}
+
+// suspect holds the reports about one request.
+type suspect struct {
+	crashes    map[Crash]time.Time
+	answeredAt time.Time
+}
+
+// NewList returns an empty list.
+func NewList(clock clockwork.Clock) *List {
+	return &List{clock: clock, requests: map[call.Fingerprint]*suspect{}}
+}
+
+// IsEmpty reports whether there are no reports. It is cheap, and spares the fingerprint of a request.
+func (l *List) IsEmpty() bool { return l.size.Load() == 0 }
+
+// Add applies a report and returns whether it was new. Reports that have expired, or that state a time far in the future,
+// are not applied.
+func (l *List) Add(r Report) bool {
+	now := l.clock.Now()
+	if now.Sub(r.At) >= reportTTL || r.At.Sub(now) > maxClockSkew {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.requests[r.Request]
+	if s == nil {
+		if r.IsAnswer() {
+			return false // there is nothing to clear
+		}
+		l.makeRoom()
+		s = &suspect{crashes: map[Crash]time.Time{}}
+		l.requests[r.Request] = s
+		l.size.Store(int64(len(l.requests)))
+	}
+	if r.IsAnswer() {
+		isNew := r.At.After(s.answeredAt)
+		if isNew {
+			s.answeredAt = r.At
+		}
+		return isNew
+	}
+	if _, isKnown := s.crashes[r.Crash]; isKnown || len(s.crashes) >= maxReports {
+		return false
+	}
+	s.crashes[r.Crash] = r.At
+	return true
+}
+
+// makeRoom drops the request with the fewest crashes and, of these, the oldest one, if the list is full.
+func (l *List) makeRoom() {
+	if len(l.requests) < maxRequests {
+		return
+	}
+	var dropped call.Fingerprint
+	var fewest int
+	var oldest time.Time
+	for request, s := range l.requests {
+		crashes, last := s.pending()
+		if oldest.IsZero() || crashes < fewest || crashes == fewest && last.Before(oldest) {
+			dropped, fewest, oldest = request, crashes, last
+		}
+	}
+	delete(l.requests, dropped)
+}
+
+// pending returns the number of crashes since the last answer, and the time of the last crash of all.
+func (s *suspect) pending() (crashes int, last time.Time) {
+	for _, at := range s.crashes {
+		if at.After(s.answeredAt) {
+			crashes++
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return crashes, last
+}
+
+// Verdict returns what is known of a request.
+func (l *List) Verdict(request call.Fingerprint) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.requests[request]
+	if s == nil {
+		return Verdict{}
+	}
+	crashes, last := s.pending()
+	if crashes == 0 {
+		return Verdict{}
+	}
+	verdict := Verdict{IsSuspected: true, Crashes: crashes}
+	var held time.Duration
+	switch {
+	case crashes >= holdCrashes:
+		held = reportTTL
+	case crashes >= probationCrashes:
+		held = probationTime
+	}
+	if until := last.Add(held); held > 0 && until.After(l.clock.Now()) {
+		verdict.HeldUntil = until
+	}
+	return verdict
+}
+
+// Expire drops requests whose last crash was reportTTL ago.
+func (l *List) Expire() {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for request, s := range l.requests {
+		if _, last := s.pending(); now.Sub(last) >= reportTTL {
+			delete(l.requests, request)
+		}
+	}
+	l.size.Store(int64(len(l.requests)))
+}
+
+// ReportsOf returns the reports about a request, ordered by time.
+func (l *List) ReportsOf(request call.Fingerprint) []Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.requests[request].reports(request)
+}
+
+// Reports returns all reports. Those of a request are ordered by time.
+func (l *List) Reports() []Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Report
+	for request, s := range l.requests {
+		all = append(all, s.reports(request)...)
+	}
+	return all
+}
+
+func (s *suspect) reports(request call.Fingerprint) []Report {
+	if s == nil {
+		return nil
+	}
+	var reports []Report
+	for crash, at := range s.crashes {
+		reports = append(reports, Report{Request: request, Crash: crash, At: at})
+	}
+	if !s.answeredAt.IsZero() {
+		reports = append(reports, Report{Request: request, At: s.answeredAt})
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return a.At.Compare(b.At) })
+	return reports
+}
+
+// Digest returns a digest of all reports. Lists with equal digests have the same reports.
+func (l *List) Digest() uint64 {
+	digest := uint64(0)
+	for _, r := range l.Reports() {
+		// A sum does not depend on the order.
+		digest += xxhash.Sum64String(fmt.Sprintf("%s %q %q %d %d",
+			r.Request, r.Crash.Host, r.Crash.Instance.ID, r.Crash.Instance.Born, r.At.UnixNano()))
+	}
+	return digest
+}
--- /dev/null
+++ b/quarantine/list_test.go
@@ -0,0 +1,144 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/onsi/gomega"
+
+	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/quarantine"
+)
+
+func fingerprintOf(uri string) call.Fingerprint { return call.Call{URI: uri}.Fingerprint() }
+
+func crashOf(host string) quarantine.Crash {
+	return quarantine.Crash{Host: ownership.HostID(host), Instance: ownership.Instance{ID: "i", Born: 1}}
+}
+
+// TestScripts plays testdata/*.txt. Each line is a command: "crash REQUEST HOST [OFFSET]" and "answer REQUEST" report at
+// the present time plus the offset, "wait DURATION" advances the clock, and "expect REQUEST clear|suspected|held
+// DURATION" checks the verdict.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(paths) == 0 {
+		t.Fatal("no scripts found", err)
+	}
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) {
+			script, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			playScript(t, string(script))
+		})
+	}
+}
+
+func playScript(t *testing.T, script string) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	list := quarantine.NewList(clock)
+	for number, line := range strings.Split(script, "\n") {
+		fields := strings.Fields(line)
+		if len(fields) == 0 || fields[0] == "#" {
+			continue
+		}
+		duration := time.Duration(0)
+		if parsed, err := time.ParseDuration(fields[len(fields)-1]); err == nil {
+			duration = parsed
+		}
+		switch fields[0] {
+		case "crash":
+			list.Add(quarantine.Report{
+				Request: fingerprintOf(fields[1]), Crash: crashOf(fields[2]), At: clock.Now().Add(duration),
+			})
+		case "answer":
+			list.Add(quarantine.Report{Request: fingerprintOf(fields[1]), At: clock.Now()})
+		case "wait":
+			clock.Advance(duration)
+			list.Expire()
+		case "expect":
+			verdict := list.Verdict(fingerprintOf(fields[1]))
+			expected := fields[2]
+			if expected == "held" {
+				expected += " " + duration.String()
+			}
+			if got := describe(clock, verdict); got != expected {
+				t.Fatalf("line %d: %s: got %s", number+1, line, got)
+			}
+		default:
+			t.Fatalf("line %d: unknown command %s", number+1, fields[0])
+		}
+	}
+}
+
+func describe(clock clockwork.Clock, v quarantine.Verdict) string {
+	switch {
+	case !v.HeldUntil.IsZero():
+		return "held " + v.HeldUntil.Sub(clock.Now()).String()
+	case v.IsSuspected:
+		return "suspected"
+	default:
+		return "clear"
+	}
+}
+
+// TestListIsBounded guards against a caller that fills the list, and against the loss of a request that is held back.
+func TestListIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	list := quarantine.NewList(clock)
+	for i := range 5 {
+		list.Add(quarantine.Report{Request: fingerprintOf("deadly"), Crash: crashOf(fmt.Sprint("h", i)), At: clock.Now()})
+	}
+	for i := range 5000 {
+		list.Add(quarantine.Report{Request: fingerprintOf(fmt.Sprint(i)), Crash: crashOf("h"), At: clock.Now()})
+	}
+	for i := range 50 {
+		list.Add(quarantine.Report{Request: fingerprintOf("deadly"), Crash: crashOf(fmt.Sprint("g", i)), At: clock.Now()})
+	}
+	g.Expect(len(list.Reports())).To(gomega.BeNumerically("<=", 1024+8))
+	g.Expect(list.Verdict(fingerprintOf("deadly")).HeldUntil).NotTo(gomega.BeZero())
+	clock.Advance(time.Hour)
+	list.Expire()
+	g.Expect(list.IsEmpty()).To(gomega.BeTrue())
+}
+
+// TestListsWithTheSameReportsAgree checks that the order of reports does not matter, as they arrive from several hosts.
+func TestListsWithTheSameReportsAgree(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	a, b := quarantine.NewList(clock), quarantine.NewList(clock)
+	first := quarantine.Report{Request: fingerprintOf("x"), Crash: crashOf("h1"), At: clock.Now()}
+	second := quarantine.Report{Request: fingerprintOf("x"), Crash: crashOf("h2"), At: clock.Now().Add(time.Second)}
+	g.Expect(a.Add(first)).To(gomega.BeTrue())
+	g.Expect(a.Digest()).NotTo(gomega.Equal(b.Digest()))
+	a.Add(second)
+	b.Add(second)
+	b.Add(first)
+	g.Expect(a.Digest()).To(gomega.Equal(b.Digest()))
+	g.Expect(a.Reports()).To(gomega.Equal(b.Reports()))
+	g.Expect(a.Add(first)).To(gomega.BeFalse())
+}
+
+func ExampleList() {
+	clock := clockwork.NewFakeClock()
+	list := quarantine.NewList(clock)
+	request := call.Call{Origin: "shop", Method: "GET", Host: "h", URI: "/menu"}.Fingerprint()
+	for _, host := range []string{"h1", "h2", "h3"} {
+		list.Add(quarantine.Report{Request: request, Crash: crashOf(host), At: clock.Now()})
+	}
+	fmt.Println(list.Verdict(request).HeldUntil.Sub(clock.Now()))
+	list.Add(quarantine.Report{Request: request, At: clock.Now().Add(time.Second)})
+	fmt.Println(list.Verdict(request).IsSuspected)
+	// Output:
+	// 10m0s
+	// false
+}
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -60,6 +61,7 @@
 			"freeze":     forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGSTOP) }),
 			"thaw":       forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGCONT) }),
 			"reload":     forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGHUP) }),
+			"deadly":     sendDeadly,
 			"terminate":  terminateDaemon,
 			"daemon":     startDaemon,
 			"server":     startServer,
@@ -151,6 +153,32 @@
 	}
 }
 
+// deadlyInterval is the pause between two requests that crash servers, and maxDeadlyCrashes how many servers the same
+// request may crash.
+const (
+	deadlyInterval   = 300 * time.Millisecond
+	maxDeadlyCrashes = 3
+)
+
+// sendDeadly implements "deadly CLASS COUNT": it sends a request of the class that crashes the servers that run it, and
+// "! deadly CLASS COUNT", where the request must reach no server.
+func sendDeadly(ts *testscript.TestScript, neg bool, args []string) {
+	d := sessionOf(ts).deployment
+	classes := d.Config().Classes
+	index := slices.IndexFunc(classes, func(c class.Class) bool { return string(c.Name) == args[0] })
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	crashes, responses, err := d.SendDeadly(&classes[index], count, deadlyInterval)
+	ts.Check(err)
+	ts.Logf("%d servers crashed, responses by status %v", crashes, responses)
+	switch {
+	case neg && crashes > 0:
+		ts.Fatalf("%d servers crashed, expected none", crashes)
+	case !neg && (crashes == 0 || crashes > maxDeadlyCrashes):
+		ts.Fatalf("%d servers crashed, expected 1 to %d", crashes, maxDeadlyCrashes)
+	}
+}
+
 // terminateDaemon stops daemons with SIGTERM, one after the other. Each has to exit within the stop timeout.
 func terminateDaemon(ts *testscript.TestScript, _ bool, args []string) {
 	for _, h := range hostsByArgs(ts, args) {
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -80,8 +81,10 @@
 	storeServer   *http.Server
 	instanceCount atomic.Int64
 	// config is what the operator last wrote to the store.
-	config     atomic.Pointer[[]byte]
-	mapAddress AddressMapper
+	config atomic.Pointer[[]byte]
+	// deadlyCrashes counts the servers that a request has crashed.
+	deadlyCrashes atomic.Int64
+	mapAddress    AddressMapper
 }
 
 // networkCount counts the deployments started by this process, so that each of them uses a loopback network of its
@@ -231,6 +234,10 @@
 		instance:          ownership.Instance{ID: fmt.Sprintf("i-%s-%d", h.ID, number), Born: time.Now().UnixMilli()},
 		checker:           d.Checker,
 		headers:           platform.Headers(),
+		onDeadly: func() {
+			d.deadlyCrashes.Add(1)
+			h.CrashServer()
+		},
 	}
 	if err := server.start(); err != nil {
 		return err
@@ -365,6 +372,36 @@
 // connections without a response; zero ends this.
 func (d *Deployment) LoseStoreResponses(rate float64) { d.faultyStore.setLossRate(rate) }
 
+// SendDeadly sends a request that crashes each server that runs it, of one class, through the daemons beside the servers
+// of one service in turn: requests of different origins are different ones. It starts the crashed servers again, and
+// returns the number of servers that were crashed and of responses by status.
+func (d *Deployment) SendDeadly(c *class.Class, count int, interval time.Duration) (int64, map[int]int, error) {
+	before := d.deadlyCrashes.Load()
+	client := &http.Client{Timeout: c.Timeout + probeTimeout}
+	defer client.CloseIdleConnections()
+	responses := map[int]int{}
+	origins := slices.DeleteFunc(slices.Clone(d.Hosts), func(h *Host) bool {
+		return h.Group.Service != d.Hosts[0].Group.Service
+	})
+	for i := range count {
+		h := origins[i%len(origins)]
+		status, _, err := d.sendRequest(client, h, c, deadlyPath, 0, fmt.Sprintf("deadly-%s-%d", c.Name, i))
+		if err != nil {
+			return 0, nil, err
+		}
+		responses[status]++
+		time.Sleep(interval)
+		for _, crashed := range d.Hosts {
+			if !crashed.HasServer() {
+				if err := d.StartServer(crashed); err != nil {
+					return 0, nil, err
+				}
+			}
+		}
+	}
+	return d.deadlyCrashes.Load() - before, responses, nil
+}
+
 // CompactStore makes the store discard its history of changes.
 func (d *Deployment) CompactStore() { d.memory.Compact() }
 
--- a/standin/deployment/load.go
+++ b/standin/deployment/load.go
@@ -157,13 +157,20 @@
 // sendCall sends one call through a host's daemon and returns the status and body of the response.
 func (d *Deployment) sendCall(
 	client *http.Client, h *Host, c *class.Class, key class.Key, id string,
+) (int, []byte, error) {
+	return d.sendRequest(client, h, c, "item", key, id)
+}
+
+// sendRequest sends a request for a path of a class.
+func (d *Deployment) sendRequest(
+	client *http.Client, h *Host, c *class.Class, path string, key class.Key, id string,
 ) (int, []byte, error) {
 	headers := platform.Headers()
 	method, payload := http.MethodGet, []byte(nil)
 	if !c.Idempotent {
 		method, payload = http.MethodPost, []byte("work")
 	}
-	request, err := http.NewRequest(method, "http://"+h.CallerAddress()+c.Prefix+"item", bytes.NewReader(payload))
+	request, err := http.NewRequest(method, "http://"+h.CallerAddress()+c.Prefix+path, bytes.NewReader(payload))
 	if err != nil {
 		return 0, nil, err
 	}
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,6 +56,8 @@
 	headers           call.HeaderNames
 	slots             chan struct{}
 	notices           notices
+	// onDeadly is called when the server has begun to run a request that crashes it.
+	onDeadly func()
 
 	mu    sync.Mutex
 	holds keyspace.Map[keyHold]
@@ -292,6 +295,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if strings.HasSuffix(r.URL.Path, deadlyPath) {
+		s.onDeadly()
+		panic(http.ErrAbortHandler) // closes the connection without a response
+	}
 	body, err := json.Marshal(Echo{Request: id, Host: s.Host, Instance: s.instance.ID})
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -302,6 +309,9 @@
 	_, _ = w.Write(body) // the daemon may have closed the connection
 }
 
+// deadlyPath is the end of the path of requests that crash the servers that run them.
+const deadlyPath = "deadly"
+
 // Echo is the body of a stand-in server's response. Callers use it to check that a response belongs to their request.
 type Echo struct {
 	Request  string           `json:"request"`
