fix(backend): an earlier refusal written again is not taken for the answer

Callers could be told "not run, try again" for a request that a server was running (REFUSED), or have it run at a second server (TWICE), if a faulty server wrote an earlier refusal once more on a kept connection.

Cause: a refusal without an ID was taken for the answer to whatever request was under way, and a retry under its old ID could go out on the connection that had carried the first attempt, where the ID cannot tell two refusals apart.

Change: a refusal without an ID counts only as the first response of a connection. A connection does not carry the same ID twice within eight requests.

--- a/backend/client.go
+++ b/backend/client.go
@@ -85,9 +85,10 @@
 		header.Set(client.headerNames.ExpectedInstance, instance)
 	}
 	request := NewRequest(c, header)
-	response, err := client.pool.Do(ctx, request, func(r *http.Response) bool {
+	response, err := client.pool.Do(ctx, request, string(c.ID), func(r *http.Response, isFirst bool) bool {
 		echoedID := r.Header.Get(client.headerNames.RequestID)
-		isUnidentifiedRejection := echoedID == "" && client.isRejection(r.StatusCode, r.Header)
+		// On a connection in use, a rejection without an ID may be that of an earlier request once more.
+		isUnidentifiedRejection := isFirst && echoedID == "" && client.isRejection(r.StatusCode, r.Header)
 		return echoedID == string(c.ID) || isUnidentifiedRejection
 	})
 	if err != nil {
--- a/link/conn.go
+++ b/link/conn.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,6 +43,9 @@
 	reader *bufio.Reader
 	// head limits the bytes that are read outside of bodies.
 	head *headLimit
+	// ids holds the IDs of the requests that were sent last, and isUsed whether any request was sent.
+	ids    []string
+	isUsed bool
 	// idleUntil is the time until which the connection may stay idle. It ends before the server's own idle timeout if
 	// the server announced one.
 	idleUntil time.Time
@@ -52,6 +56,22 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferSize), head: head}
 }
 
+// maxRecentIDs is the number of requests of a connection whose IDs are kept.
+const maxRecentIDs = 8
+
+// recordID records the ID of a request that is about to be sent. An empty ID stands for none.
+func (c *conn) recordID(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.ids) == maxRecentIDs {
+		c.ids = append(c.ids[:0], c.ids[1:]...)
+	}
+	c.ids = append(c.ids, id)
+}
+
+func (c *conn) hasCarried(id string) bool { return id != "" && slices.Contains(c.ids, id) }
+
 // HeadTooLargeError reports a response whose head, together with those of the responses skipped before it, exceeds the
 // limit.
 type HeadTooLargeError struct{ Bytes int64 }
@@ -111,8 +131,10 @@
 
 // exchange sends one request and reads the complete response to it. The end of the context closes the connection.
 func (c *conn) exchange(
-	ctx context.Context, r *http.Request, accepts func(*http.Response) bool, maxBody int64,
+	ctx context.Context, r *http.Request, accepts Acceptor, maxBody int64,
 ) (*Response, error) {
+	isFirst := !c.isUsed
+	c.isUsed = true
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // it may already be closed
 	defer stop()
 	if sent, err := c.writeRequest(r); err != nil {
@@ -127,7 +149,7 @@
 		if err != nil {
 			return nil, &LostError{Cause: err}
 		}
-		if accepts(response.raw) {
+		if accepts(response.raw, isFirst) {
 			return response, nil
 		}
 		if response.closesConn {
--- a/link/endless_test.go
+++ b/link/endless_test.go
@@ -160,5 +160,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.Do(ctx, request, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	return p.Do(ctx, request, "", func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id })
 }
--- a/link/link.go
+++ b/link/link.go
@@ -133,13 +133,19 @@
 	}
 }
 
-// Do sends a request once and returns the complete response. Responses for which accepts returns false belong to other
-// requests and are skipped. The error is an UnsentError or a LostError.
-func (p *Pool) Do(ctx context.Context, r *http.Request, accepts func(*http.Response) bool) (*Response, error) {
-	c, err := p.acquire(ctx)
+// Acceptor reports whether a response answers a request. isFirst is set if nothing was sent on the connection before the
+// request, so that the response cannot belong to another one.
+type Acceptor func(r *http.Response, isFirst bool) bool
+
+// Do sends a request once and returns the complete response. Responses that are not accepted belong to other requests and
+// are skipped. A request with an ID is not sent on a connection that recently carried the same ID, because a second copy
+// of the earlier response would be taken for the answer. The error is an UnsentError or a LostError.
+func (p *Pool) Do(ctx context.Context, r *http.Request, id string, accepts Acceptor) (*Response, error) {
+	c, err := p.acquire(ctx, id)
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
+	c.recordID(id)
 	response, err := c.exchange(ctx, r, accepts, p.options.MaxBody)
 	if err != nil {
 		_ = c.Close() // it may already be closed
@@ -149,10 +155,10 @@
 	return response, nil
 }
 
-// acquire returns a clean idle connection or a new one.
-func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+// acquire returns a clean idle connection that has not carried the ID, or a new one.
+func (p *Pool) acquire(ctx context.Context, id string) (*conn, error) {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(id)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -163,16 +169,18 @@
 	}
 }
 
-// popIdle removes and returns the idle connection that was used last, so that the others can reach their idle timeout.
-func (p *Pool) popIdle() *conn {
+// popIdle removes and returns the idle connection that was used last, so that the others can reach their idle timeout. It
+// passes over connections that have carried the ID.
+func (p *Pool) popIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !c.hasCarried(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.Do(context.Background(), request, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	return p.Do(context.Background(), request, "", func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id })
 }
 
 func TestResponses(t *testing.T) {
@@ -228,7 +228,7 @@
 		// The second request is sent while the first one is in progress, so each needs its own connection.
 		request, err := http.NewRequest(http.MethodGet, "http://x/", http.NoBody)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = p.Do(context.Background(), request, func(*http.Response) bool {
+		_, err = p.Do(context.Background(), request, "", func(*http.Response, bool) bool {
 			_, err := get(p, "1")
 			return err == nil
 		})
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -214,7 +214,7 @@
 	if c.HasKey {
 		header.Set(keyHeader, strconv.Itoa(int(c.Key)))
 	}
-	response, err := h.poolFor(address).Do(ctx, backend.NewRequest(c, header), func(r *http.Response) bool {
+	response, err := h.poolFor(address).Do(ctx, backend.NewRequest(c, header), "", func(r *http.Response, _ bool) bool {
 		return r.Header.Get(requestHeader) == string(c.ID)
 	})
 	if err != nil {
