test(link): a head that breaks off at any byte is no answer

Cause: a report of the users (a 200 with an empty or short body, framed as whole). Change: each prefix of eight heads, with the connection closed after it. Measured: it cannot happen here; all are lost answers, nothing is changed.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -266,3 +266,48 @@
 	var lost *link.LostError
 	g.Expect(errors.As(err, &lost)).To(gomega.BeTrue(), "%v", err)
 }
+
+// TestHeadThatBreaksOffIsNoAnswer guards against a response whose connection ends within its head and that is taken for a
+// complete one without a body.
+func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"with a length":    "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\n",
+		"without a length": "HTTP/1.1 200 OK\r\nId: 1\r\nServer: x\r\n\r\n",
+		"chunked":          "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"empty":            "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+		"no content":       "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n",
+		"line feeds only":  "HTTP/1.1 200 OK\nId: 1\nContent-Length: 0\n\n",
+		"HTTP/1.0":         "HTTP/1.0 200 OK\r\nId: 1\r\n\r\n",
+		"after 100":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			for n := range head {
+				address := startBreakingServer(t, head[:n])
+				_, err := get(newPool(address), "1")
+				var lost *link.LostError
+				g.Expect(errors.As(err, &lost)).To(gomega.BeTrue(), "%q: %v", head[:n], err)
+			}
+		})
+	}
+}
+
+// startBreakingServer starts a server that writes a text to each connection and closes it.
+func startBreakingServer(t *testing.T, text string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = conn.Write([]byte(text)) // the client may have closed the connection
+	}()
+	return listener.Addr().String()
+}
