fix(daemon): a presence with an impossible address names no host

Daemons tried again and again to reach a host whose entry had a port out of range, and counted it as a member of the mesh. One of the users' reports; no process ended.

Cause: addresses of presences were not checked.

--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -169,6 +169,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := presence.Validate(); err != nil {
+		return nil, err
+	}
 	presence.Host = host
 	return func(ownership.Instant) { c.roster.Register(presence, e.Version) }, nil
 }
--- a/membership/host.go
+++ b/membership/host.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
@@ -24,6 +26,28 @@
 	PackedFormat int `json:"packed_format,omitempty"`
 }
 
+// Validate checks the addresses. The error is an AddressError.
+func (p Presence) Validate() error {
+	for _, address := range []string{p.HopAddress, p.ControlAddress, p.OperatorAddress} {
+		if address == "" {
+			continue // the host does not offer this
+		}
+		_, port, err := net.SplitHostPort(address)
+		if err != nil {
+			return &AddressError{Address: address, Reason: "want HOST:PORT"}
+		}
+		if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+			return &AddressError{Address: address, Reason: "the port must be from 1 to 65535"}
+		}
+	}
+	return nil
+}
+
+// AddressError reports an address at which no daemon can be reached.
+type AddressError struct{ Address, Reason string }
+
+func (e *AddressError) Error() string { return "invalid address " + e.Address + ": " + e.Reason }
+
 // Announcement is the state of a backend server that its daemon sends to the other daemons. It does not go through the
 // store.
 type Announcement struct {
