fix(backend): lost calls are remembered without their bodies, the newest ones

Cause: up to 64 calls whose connection broke were kept with their bodies until the server's instance changed, and later ones were not kept at all. Change: fingerprint and ID only; what is older than 3 s makes room. Evidence: TestNewestLostCallsAreKept failed before.

--- a/backend/quarantine.go
+++ b/backend/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/call"
@@ -29,9 +30,10 @@
 	maxLostCalls = 64
 )
 
-// lostCall is a call whose connection to the server broke.
+// lostCall is a call whose connection to the server broke. It does not keep the call's body.
 type lostCall struct {
-	call     call.Call
+	id       class.RequestID
+	request  call.Fingerprint
 	instance ownership.Instance
 	at       time.Time
 }
@@ -91,19 +93,27 @@
 	if permit.IsLeaving || r.isServerLeaving(permit) {
 		return false
 	}
-	lost := lostCall{call: c, instance: permit.ServerInstance, at: r.clock.Now()}
+	lost := lostCall{id: c.ID, request: c.Fingerprint(), instance: permit.ServerInstance, at: r.clock.Now()}
 	if permit.client.HasEnded(context.WithoutCancel(ctx)) {
 		r.reportCrash(lost)
 		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.current.Load().client == permit.client && len(r.lostCalls) < maxLostCalls {
-		r.lostCalls = append(r.lostCalls, lost) // the server may have ended and started again already
+	if r.current.Load().client == permit.client {
+		// The server may have ended and started again already.
+		r.lostCalls = append(r.recentLostCalls(), lost)
 	}
 	return false
 }
 
+// recentLostCalls returns the calls that were lost within lostCallTTL, and fewer than maxLostCalls. The caller holds the
+// lock.
+func (r *Runner) recentLostCalls() []lostCall {
+	recent := slices.DeleteFunc(r.lostCalls, func(l lostCall) bool { return r.clock.Since(l.at) >= lostCallTTL })
+	return recent[max(0, len(recent)-maxLostCalls+1):]
+}
+
 func (r *Runner) isServerLeaving(permit *activePermit) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -112,25 +122,19 @@
 
 func (r *Runner) reportCrash(lost lostCall) {
 	r.report(quarantine.Report{
-		Request: lost.call.Fingerprint(),
+		Request: lost.request,
 		Crash:   quarantine.Crash{Host: r.host, Instance: lost.instance},
 		At:      lost.at,
-	}, lost.call.ID)
+	}, lost.id)
 }
 
 // takeLostCalls returns the calls that were lost shortly before another instance of the server was found. The caller
 // holds the lock.
 func (r *Runner) takeLostCalls(wasLeaving bool) []lostCall {
-	lost := r.lostCalls
+	recent := r.recentLostCalls()
 	r.lostCalls = nil
 	if wasLeaving || r.stated.isLeaving {
 		return nil
 	}
-	var recent []lostCall
-	for _, l := range lost {
-		if r.clock.Since(l.at) < lostCallTTL {
-			recent = append(recent, l)
-		}
-	}
 	return recent
 }
--- a/backend/quarantine_test.go
+++ b/backend/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -100,6 +101,22 @@
 	g.Expect((*reports)[0].Crash.Instance).To(gomega.Equal(first))
 }
 
+// TestNewestLostCallsAreKept guards against calls that are not reported because earlier ones filled the memory of lost calls.
+func TestNewestLostCallsAreKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := startServer(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	r, _ := newRunner(address, unchanged)
+	list, reports := newQuarantine(r)
+	c := newCall(time.Second)
+	for i := range 100 {
+		c.URI = fmt.Sprint("/", i)
+		r.Run(context.Background(), c)
+	}
+	r.SetPermit(backend.Permit{Instance: "i-2"}, backend.NewClient(address, 2, headerNames, func() {}, clockwork.NewRealClock()))
+	g.Expect(len(*reports)).To(gomega.BeNumerically("<=", 64))
+	g.Expect(list.Verdict(c.Fingerprint()).IsSuspected).To(gomega.BeTrue())
+}
+
 // TestHeldRequestsDoNotReachTheServer guards against a request that crashes one server after the other.
 func TestHeldRequestsDoNotReachTheServer(t *testing.T) {
 	g := gomega.NewWithT(t)
