perf(daemon): the reports of a crash go out in one update

Cause: a crash leads to a report about each request that was running, and each went to all daemons in a message of its own, forwarded by each daemon of a large failure domain.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/skylarkrelay/skylarkrelay/backend"
+	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/membership"
@@ -93,7 +94,9 @@
 	routesUpdatedAt ownership.Instant
 	isShuttingDown  bool
 	isPulling       bool
-	// isPullingReports and nextReportExpiryAt concern the reports about requests during which backend servers crashed.
+	// reportedRequests contains the requests with reports that have not been sent to other daemons. isPullingReports and
+	// nextReportExpiryAt concern the reports of all daemons.
+	reportedRequests   map[call.Fingerprint]bool
 	isPullingReports   bool
 	nextReportExpiryAt ownership.Instant
 	peersUpdatedAt     ownership.Instant
@@ -127,6 +130,7 @@
 			d.ownershipTiming(), random),
 		records:           map[class.Service]*ownership.Record{},
 		expectedHandovers: map[ownership.HostID]ownership.Instant{},
+		reportedRequests:  map[call.Fingerprint]bool{},
 		loadMeter:         newLoadMeter(o.Clock.Now()),
 	}
 	c.gossip = newGossipState(o.BootClock.Now())
@@ -187,6 +191,7 @@
 	c.checkServer(now)
 	c.measureLoad(now)
 	c.runOwnershipEffects(now, c.machine.Tick(now))
+	c.pushReports()
 	c.gossipTick(now)
 	c.updateDataPlane(now)
 	c.reportUsage(now)
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -16,19 +16,25 @@
 // crashReported handles a new report of the local runner. It may be called from any goroutine and does not block.
 func (d *Daemon) crashReported(report quarantine.Report, request class.RequestID) {
 	d.observer.crashReported(report, request, d.quarantine.Verdict(report.Request))
-	push := func(ownership.Instant) {
-		// The earlier reports go along, since one lost message must not hide a crash.
-		d.control.pushReports(d.quarantine.ReportsOf(report.Request))
-	}
+	push := func(ownership.Instant) { d.control.reportedRequests[report.Request] = true }
 	select {
 	case d.control.inbox <- push:
 	default: // the inbox is full; digests spread the report later
 	}
 }
 
-// pushReports sends reports to the other daemons.
-func (c *control) pushReports(reports []quarantine.Report) {
-	update := peer.Update{Reports: reports}
+// pushReports sends the reports about all requests for which there are new ones to the other daemons, in one update: a
+// crash leads to a report about each request that was running. The earlier reports go along, since one lost message must
+// not hide a crash.
+func (c *control) pushReports() {
+	if len(c.reportedRequests) == 0 {
+		return
+	}
+	var update peer.Update
+	for request := range c.reportedRequests {
+		update.Reports = append(update.Reports, c.daemon.quarantine.ReportsOf(request)...)
+	}
+	clear(c.reportedRequests)
 	c.pushLocal(update)
 	c.pushRemote(update)
 }
