--- a/ownership/record.go
+++ b/ownership/record.go
@@ -95,15 +95,14 @@
 // nextGeneration returns a copy of the record with the next generation and the given nonce.
 func (r *Record) nextGeneration(nonce string) *Record {
 	return &Record{
-		Service:       r.Service,
-		Era:           r.Era,
-		Generation:    r.Generation + 1,
-		EraGeneration: r.EraGeneration,
-		Unsettled:     slices.Clone(r.Unsettled),
-		Members:       slices.Clone(r.Members),
-		Keys:          r.Keys.Clone(),
-		Nonce:         nonce,
-
+		Service:         r.Service,
+		Era:             r.Era,
+		Generation:      r.Generation + 1,
+		EraGeneration:   r.EraGeneration,
+		Unsettled:       slices.Clone(r.Unsettled),
+		Members:         slices.Clone(r.Members),
+		Keys:            r.Keys.Clone(),
+		Nonce:           nonce,
 		IsEraSettleable: r.IsEraSettleable,
 	}
 }
@@ -175,15 +174,14 @@
 // Encode returns the record in the format in which it is stored.
 func (r *Record) Encode() ([]byte, error) {
 	header, err := json.Marshal(recordHeader{
-		Format:        RecordFormat,
-		Service:       r.Service,
-		Generation:    r.Generation,
-		Members:       r.Members,
-		Nonce:         r.Nonce,
-		Era:           r.Era,
-		EraGeneration: r.EraGeneration,
-		Unsettled:     r.Unsettled,
-
+		Format:          RecordFormat,
+		Service:         r.Service,
+		Generation:      r.Generation,
+		Members:         r.Members,
+		Nonce:           r.Nonce,
+		Era:             r.Era,
+		EraGeneration:   r.EraGeneration,
+		Unsettled:       r.Unsettled,
 		IsEraSettleable: r.IsEraSettleable,
 	})
 	if err != nil {
@@ -241,14 +239,13 @@
 		return nil, &RecordError{Reason: "service or rows missing"}
 	}
 	r := &Record{
-		Service:       decoded.Service,
-		Era:           decoded.Era,
-		Generation:    decoded.Generation,
-		EraGeneration: decoded.EraGeneration,
-		Unsettled:     decoded.Unsettled,
-		Members:       decoded.Members,
-		Nonce:         decoded.Nonce,
-
+		Service:         decoded.Service,
+		Era:             decoded.Era,
+		Generation:      decoded.Generation,
+		EraGeneration:   decoded.EraGeneration,
+		Unsettled:       decoded.Unsettled,
+		Members:         decoded.Members,
+		Nonce:           decoded.Nonce,
 		IsEraSettleable: decoded.IsEraSettleable,
 	}
 	rows := rowReader{rest: body, generation: decoded.Generation, members: len(decoded.Members)}
