fix(ownership): a record that states no era is not in force after a restore

A key could get a second owner if the store was restored from a copy that was made before this version first wrote the record, and a daemon started then.

Cause: a daemon that had seen no restore itself took a record without an era, as versions before eras write it, for one of the present era. Change: that holds only in a store that was never restored, or if the record replaces one of this era that is in force.

--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -68,8 +68,7 @@
 	storeAvailableSince Instant
 
 	// era is the newest known era of the store.
-	era                store.Era
-	hasObservedRestore bool
+	era store.Era
 	// record is the newest known record, and recordRevision the revision of the newest known one in the store.
 	record         *Record
 	recordRevision store.Revision
@@ -226,8 +225,7 @@
 		return nil
 	}
 	effects := m.EraObserved(now, revision.Era())
-	isOfEra := r.Era == m.era || r.Era == 0 && !m.hasObservedRestore
-	if !isOfEra || !r.Supersedes(m.record) {
+	if !m.isOfEra(r, revision) || !r.Supersedes(m.record) {
 		m.applyOutdated(now, r, revision)
 		return effects
 	}
--- a/ownership/restore.go
+++ b/ownership/restore.go
@@ -19,6 +19,9 @@
 // eraGap is by how much the generation rises with each era, so that new fences are above those that were lost.
 const eraGap = 1 << 24
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
 // Supersedes reports whether a record may replace another one. A record that was lost when the store was restored, or
 // that was written without knowing of the restore, does not supersede the records that were in force since.
 func (r *Record) Supersedes(known *Record) bool {
@@ -66,7 +69,7 @@
 		return nil
 	}
 	m.retainKeys(now)
-	m.era, m.hasObservedRestore = era, true
+	m.era = era
 	m.isRegistered, m.isRecordFresh = false, false
 	m.isRecordOutdated = m.record != nil
 	m.pending = nil
@@ -127,6 +130,15 @@
 	return keys
 }
 
+// isOfEra reports whether a record was written in the present era. A record of a daemon that does not state the era counts
+// as such if the store was never restored, or if it replaces a record of this era that is in force.
+func (m *StateMachine) isOfEra(r *Record, revision store.Revision) bool {
+	if r.Era != 0 || m.era <= firstEra {
+		return r.Era == m.era || r.Era == 0
+	}
+	return m.record != nil && !m.isRecordOutdated && m.recordRevision.Era() == revision.Era()
+}
+
 // applyOutdated records a record that is in the store but not in force, and has to be written again.
 func (m *StateMachine) applyOutdated(now Instant, r *Record, revision store.Revision) {
 	m.recordRevision = revision
--- a/ownership/restore_test.go
+++ b/ownership/restore_test.go
@@ -1,6 +1,7 @@
 package ownership_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -122,3 +123,20 @@
 	g.Expect(settled.Unsettled).To(gomega.BeEmpty())
 	g.Expect(settled.Keys.At(0).Fence).To(gomega.Equal(settled.Generation))
 }
+
+// TestRecordWithoutAnEraOfARestoredStoreIsNotInForce guards against a daemon that starts after a restore and acts on a
+// record of a version that did not state the era.
+func TestRecordWithoutAnEraOfARestoredStoreIsNotInForce(t *testing.T) {
+	for era, isInForce := range map[store.Era]bool{1: true, 2: false} {
+		t.Run(fmt.Sprint("era ", era), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			m := ownership.NewStateMachine(0, "a", "s", ownership.StoreLayout{}, ownership.DefaultTiming(), rand.New(rand.NewPCG(1, 1)))
+			now := ownership.Instant(time.Minute)
+			m.EraObserved(now, era)
+			m.Registered(now, now, 1, revisionIn(t, era, 31))
+			m.ReadDone(now, 1, stripedRecord(4, 9), revisionIn(t, era, 30), true)
+			m.Heartbeat(now, heartbeatWith(1, nil))
+			g.Expect(len(m.HeartbeatResponse(now).Grants) > 0).To(gomega.Equal(isInForce))
+		})
+	}
+}
