fix(standin): deployments of two processes do not share a loopback network

Cause: the network was chosen by the process ID. Change: a network whose store port is taken is passed over. Evidence: TestDeploymentsOfTwoProcessesUseDifferentNetworks.

--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -87,8 +88,7 @@
 	mapAddress    AddressMapper
 }
 
-// networkCount counts the deployments started by this process, so that each of them uses a loopback network of its
-// own.
+// networkCount counts the deployments started by this process, so that they do not begin with the same network.
 var networkCount atomic.Int64
 
 //go:generate go tool stringer -type=Link -linecomment
@@ -122,13 +122,11 @@
 
 // StartWithMapper is like Start and routes each link through the address that mapAddress returns for it.
 func StartWithMapper(plan Plan, binary, dir string, mapAddress AddressMapper) (*Deployment, error) {
-	secondOctet := 1 + (os.Getpid()*7+int(networkCount.Add(1))*31)%250
 	d := &Deployment{
 		Checker:      newInvariantChecker(),
 		plan:         plan,
 		daemonBinary: binary,
 		dir:          dir,
-		ipPrefix:     fmt.Sprintf("127.%d", secondOctet),
 		memory:       store.NewMemory(clockwork.NewRealClock()),
 		mapAddress:   mapAddress,
 	}
@@ -183,8 +181,9 @@
 	return net.JoinHostPort(d.ipPrefix+".0.1", strconv.Itoa(storePort))
 }
 
+// startStore starts the store on a loopback network that no other deployment on this machine uses.
 func (d *Deployment) startStore() error {
-	listener, err := net.Listen("tcp", d.storeAddress())
+	listener, err := d.listenOnFreeNetwork()
 	if err != nil {
 		return &StartError{Component: "store", Cause: err}
 	}
@@ -196,6 +195,23 @@
 	return nil
 }
 
+// networks is the number of loopback networks that deployments choose from.
+const networks = 250
+
+// listenOnFreeNetwork chooses the network of the deployment and listens on the address of its store. The store's port is
+// taken on networks that other deployments use, in this process or another one.
+func (d *Deployment) listenOnFreeNetwork() (net.Listener, error) {
+	first := os.Getpid()*7 + int(networkCount.Add(1))*31
+	for i := range networks {
+		d.ipPrefix = fmt.Sprintf("127.%d", 1+(first+i)%networks)
+		listener, err := net.Listen("tcp", d.storeAddress())
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+	}
+	return nil, syscall.EADDRINUSE
+}
+
 // Config returns the configuration that the deployment started with. It must not be modified.
 func (d *Deployment) Config() *class.Config { return d.plan.Config }
 
