fix(quarantine): the newest crashes of a request count

A popular request that turned deadly could crash servers for up to ten minutes without being held back. Cause: after eight crashes, each followed by an answer, further ones were not recorded. Change: the oldest crash makes room. Evidence: TestNewestCrashesCount failed before.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -116,13 +116,32 @@
 		}
 		return isNew
 	}
-	if _, isKnown := s.crashes[r.Crash]; isKnown || len(s.crashes) >= maxReports {
+	if _, isKnown := s.crashes[r.Crash]; isKnown || !s.makeRoom(r.At) {
 		return false
 	}
 	s.crashes[r.Crash] = r.At
 	return true
 }
 
+// makeRoom drops the oldest crash if there are maxReports, and reports whether there is room for a crash at a time. All
+// daemons keep the newest ones.
+func (s *suspect) makeRoom(at time.Time) bool {
+	if len(s.crashes) < maxReports {
+		return true
+	}
+	var oldest Crash
+	for crash, crashedAt := range s.crashes {
+		if oldest == (Crash{}) || crashedAt.Before(s.crashes[oldest]) {
+			oldest = crash
+		}
+	}
+	if !at.After(s.crashes[oldest]) {
+		return false
+	}
+	delete(s.crashes, oldest)
+	return true
+}
+
 // makeRoom drops the request with the fewest crashes and, of these, the oldest one, if the list is full.
 func (l *List) makeRoom() {
 	if len(l.requests) < maxRequests {
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -111,6 +111,25 @@
 	g.Expect(list.IsEmpty()).To(gomega.BeTrue())
 }
 
+// TestNewestCrashesCount guards against a request whose crashes no longer count because it was running in many earlier
+// ones, after which servers answered it.
+func TestNewestCrashesCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	list := quarantine.NewList(clock)
+	request := fingerprintOf("menu")
+	for i := range 20 {
+		g.Expect(list.Add(quarantine.Report{Request: request, Crash: crashOf(fmt.Sprint("h", i)), At: clock.Now()})).To(gomega.BeTrue())
+		g.Expect(list.Verdict(request).Crashes).To(gomega.Equal(1))
+		clock.Advance(time.Second)
+		list.Add(quarantine.Report{Request: request, At: clock.Now()})
+		clock.Advance(time.Second)
+	}
+	oldest := quarantine.Report{Request: request, Crash: crashOf("h0"), At: clock.Now().Add(-40 * time.Second)}
+	g.Expect(list.Add(oldest)).To(gomega.BeFalse(), "a list that dropped a crash does not take it again")
+	g.Expect(len(list.Reports())).To(gomega.Equal(9))
+}
+
 // TestListsWithTheSameReportsAgree checks that the order of reports does not matter, as they arrive from several hosts.
 func TestListsWithTheSameReportsAgree(t *testing.T) {
 	g := gomega.NewWithT(t)
