refactor(store): one interface for a store with an era

Add store.EraStore and store.MustRevision, and remove the copies and the field. Behaviour is unchanged.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -46,7 +46,7 @@
 	store store.Store
 	// directStore accesses the store without the fallback through other daemons. isStoreUnreachable reports whether that
 	// direct access has failed for a while.
-	directStore        peer.DirectStore
+	directStore        store.EraStore
 	isStoreUnreachable func() bool
 	// storeEra is the newest known era of the store. isReadDue is set while the store has to be read as a whole because
 	// it was restored.
--- a/daemon/era_test.go
+++ b/daemon/era_test.go
@@ -15,15 +15,6 @@
 	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
-func revisionIn(t *testing.T, era store.Era, counter uint64) store.Revision {
-	t.Helper()
-	revision, err := store.NewRevision(era, counter)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return revision
-}
-
 // TestNewerConfigurationAfterARestoreIsInForce guards against a configuration that is taken for an older one because the
 // restored store gave it a lower revision, and against the older one of the copy.
 func TestNewerConfigurationAfterARestoreIsInForce(t *testing.T) {
@@ -43,7 +34,7 @@
 		data, err := platform.EncodeConfig(&class.Config{Version: step.version})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		c.applyItems(now, []store.Item{
-			{Key: platform.ConfigKey, Value: data, Revision: revisionIn(t, step.era, step.counter)},
+			{Key: platform.ConfigKey, Value: data, Revision: store.MustRevision(step.era, step.counter)},
 		})
 		g.Expect(d.callerHandler.Config().Version).To(gomega.Equal(step.expected))
 		g.Expect(c.replica.Get(platform.ConfigKey).Version).To(gomega.Equal(membership.Version(step.expected)))
@@ -58,7 +49,7 @@
 	presence := func(era store.Era, host ownership.HostID) membership.Entry {
 		return membership.Entry{
 			Key:     c.layout.Presence(host),
-			Version: membership.Version(revisionIn(t, era, 9)),
+			Version: membership.Version(store.MustRevision(era, 9)),
 			Data:    []byte(`{"hop":"127.0.0.1:3"}`),
 		}
 	}
--- a/daemon/fallback.go
+++ b/daemon/fallback.go
@@ -8,7 +8,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/skylarkrelay/skylarkrelay/peer"
 	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
@@ -21,7 +20,7 @@
 
 // fallbackStore calls the store directly, or through another daemon while the store is not available to this host.
 type fallbackStore struct {
-	direct  peer.DirectStore
+	direct  store.EraStore
 	viaPeer func(address string) store.Store
 	peers   func() []string
 	health  dependency
@@ -34,7 +33,7 @@
 }
 
 func newFallbackStore(
-	direct peer.DirectStore, viaPeer func(string) store.Store, peers func() []string, health dependency, clock clockwork.Clock,
+	direct store.EraStore, viaPeer func(string) store.Store, peers func() []string, health dependency, clock clockwork.Clock,
 ) *fallbackStore {
 	return &fallbackStore{direct: direct, viaPeer: viaPeer, peers: peers, health: health, clock: clock}
 }
--- a/daemon/presence_test.go
+++ b/daemon/presence_test.go
@@ -32,8 +32,8 @@
 			d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewFakeClock()})
 			c := d.control
 			c.applyItems(ownership.Instant(time.Minute), []store.Item{
-				{Key: c.layout.Presence("odd"), Value: []byte(odd), Revision: revisionIn(t, 1, 2)},
-				{Key: c.layout.Presence("good"), Value: []byte(`{"hop":"127.0.0.1:3"}`), Revision: revisionIn(t, 1, 3)},
+				{Key: c.layout.Presence("odd"), Value: []byte(odd), Revision: store.MustRevision(1, 2)},
+				{Key: c.layout.Presence("good"), Value: []byte(`{"hop":"127.0.0.1:3"}`), Revision: store.MustRevision(1, 3)},
 			})
 			_, isOddKnown := c.roster.Get("odd")
 			g.Expect(isOddKnown).To(gomega.BeFalse())
--- a/ownership/restore_test.go
+++ b/ownership/restore_test.go
@@ -13,16 +13,6 @@
 	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
-// revisionIn returns the revision with a counter in an era of the store.
-func revisionIn(t *testing.T, era store.Era, counter uint64) store.Revision {
-	t.Helper()
-	revision, err := store.NewRevision(era, counter)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return revision
-}
-
 // restoredMachine returns the state machine of host "a", which served every second stripe of a record of era 1 when the
 // store was restored from a copy with an older record. It has registered in era 2 and read that record.
 func restoredMachine(t *testing.T, older *ownership.Record) (
@@ -33,11 +23,11 @@
 	record := stripedRecord(4, 9)
 	record.Era = 1
 	m.EraObserved(3, 1)
-	m.RecordReceived(4, record, revisionIn(t, 1, 50))
+	m.RecordReceived(4, record, store.MustRevision(1, 50))
 	now = ownership.Instant(time.Second)
 	m.EraObserved(now, 2)
-	m.Registered(now, now, 2, revisionIn(t, 2, 31))
-	effects = m.ReadDone(now, 2, older, revisionIn(t, 2, 30), true)
+	m.Registered(now, now, 2, store.MustRevision(2, 31))
+	effects = m.ReadDone(now, 2, older, store.MustRevision(2, 30), true)
 	return m, now, effects
 }
 
@@ -57,13 +47,13 @@
 	m, now, effects := restoredMachine(t, older)
 	w := findWrite(effects)
 	written := decodeWrite(g, w)
-	g.Expect(w.Txn.Conditions[0].Revision).To(gomega.Equal(revisionIn(t, 2, 30)))
+	g.Expect(w.Txn.Conditions[0].Revision).To(gomega.Equal(store.MustRevision(2, 30)))
 	g.Expect(written.Era).To(gomega.Equal(store.Era(2)))
 	g.Expect(written.Keys).To(gomega.Equal(stripedRecord(4, 9).Keys))
 	g.Expect(written.Generation).To(gomega.BeNumerically(">", 1000), "generations that may have been lost are skipped")
 	g.Expect(written.Unsettled).To(gomega.ConsistOf(ownership.HostID("a"), ownership.HostID("b")))
 	settled := decodeWrite(g, findWrite(m.WriteDone(now, ownership.WriteResult{
-		Token: w.Token, Status: ownership.WriteCommitted, Revision: revisionIn(t, 2, 32),
+		Token: w.Token, Status: ownership.WriteCommitted, Revision: store.MustRevision(2, 32),
 	})))
 	g.Expect(settled.Unsettled).To(gomega.ConsistOf(ownership.HostID("b")))
 	g.Expect(settled.Keys).To(gomega.Equal(written.Keys), "keys that were served without interruption keep their fences")
@@ -104,7 +94,7 @@
 	known, _ := m.KnownRecord()
 	late := stripedRecord(2, 20)
 	late.Era = 1
-	m.RecordReceived(now, late, revisionIn(t, 1, 90))
+	m.RecordReceived(now, late, store.MustRevision(1, 90))
 	g.Expect(known).To(gomega.Equal(func() *ownership.Record { r, _ := m.KnownRecord(); return r }()))
 }
 
@@ -118,8 +108,8 @@
 	m := ownership.NewStateMachine(0, "a", "s", ownership.StoreLayout{}, ownership.DefaultTiming(), rand.New(rand.NewPCG(1, 1)))
 	now := ownership.Instant(time.Minute)
 	m.EraObserved(now, 2)
-	m.Registered(now, now, 1, revisionIn(t, 2, 31))
-	settled := decodeWrite(g, findWrite(m.ReadDone(now, 1, written, revisionIn(t, 2, 30), true)))
+	m.Registered(now, now, 1, store.MustRevision(2, 31))
+	settled := decodeWrite(g, findWrite(m.ReadDone(now, 1, written, store.MustRevision(2, 30), true)))
 	g.Expect(settled.Unsettled).To(gomega.BeEmpty())
 	g.Expect(settled.Keys.At(0).Fence).To(gomega.Equal(settled.Generation))
 }
@@ -133,8 +123,8 @@
 			m := ownership.NewStateMachine(0, "a", "s", ownership.StoreLayout{}, ownership.DefaultTiming(), rand.New(rand.NewPCG(1, 1)))
 			now := ownership.Instant(time.Minute)
 			m.EraObserved(now, era)
-			m.Registered(now, now, 1, revisionIn(t, era, 31))
-			m.ReadDone(now, 1, stripedRecord(4, 9), revisionIn(t, era, 30), true)
+			m.Registered(now, now, 1, store.MustRevision(era, 31))
+			m.ReadDone(now, 1, stripedRecord(4, 9), store.MustRevision(era, 30), true)
 			m.Heartbeat(now, heartbeatWith(1, nil))
 			g.Expect(len(m.HeartbeatResponse(now).Grants) > 0).To(gomega.Equal(isInForce))
 		})
--- a/peer/store.go
+++ b/peer/store.go
@@ -32,15 +32,9 @@
 	Lost       string        `json:"lost,omitempty"`
 }
 
-// DirectStore is a store that observes its era.
-type DirectStore interface {
-	store.Store
-	Era() store.Era
-}
-
 // ExecuteStoreCall makes a peer's call to the store. The store must not be a RelayedStore, because a call is forwarded
 // once at most.
-func ExecuteStoreCall(ctx context.Context, s DirectStore, c StoreCall) StoreResult {
+func ExecuteStoreCall(ctx context.Context, s store.EraStore, c StoreCall) StoreResult {
 	var result StoreResult
 	var err error
 	switch {
--- a/store/memory.go
+++ b/store/memory.go
@@ -16,7 +16,6 @@
 	clock clockwork.Clock
 
 	mu          sync.Mutex
-	era         Era
 	revision    Revision
 	lastLeaseID LeaseID
 	items       map[string]Item
@@ -46,32 +45,22 @@
 
 // startEra starts an era at a change counter. The revisions of all items move to this era.
 func (m *Memory) startEra(era Era, counter uint64) {
-	m.era = era
-	m.revision = m.currentEra(counter)
+	m.revision = MustRevision(era, counter)
 	for key, item := range m.items {
-		item.Revision = m.currentEra(item.Revision.Counter())
+		item.Revision = MustRevision(era, item.Revision.Counter())
 		m.items[key] = item
 	}
 	for i, item := range m.history {
-		m.history[i].Revision = m.currentEra(item.Revision.Counter())
+		m.history[i].Revision = MustRevision(era, item.Revision.Counter())
 	}
-	m.compactedRevision = m.currentEra(m.compactedRevision.Counter())
-}
-
-// currentEra returns the revision with a counter in the present era.
-func (m *Memory) currentEra(counter uint64) Revision {
-	revision, err := NewRevision(m.era, counter)
-	if err != nil {
-		panic(err) // unreachable: a test does not restore or change a store that often
-	}
-	return revision
+	m.compactedRevision = MustRevision(era, m.compactedRevision.Counter())
 }
 
 // Era returns the era of the store. It rises with each restore.
 func (m *Memory) Era() Era {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.era
+	return m.revision.Era()
 }
 
 // MemoryCopy is a copy of a Memory from which it can be restored.
@@ -116,7 +105,7 @@
 	for id, lease := range c.leases {
 		m.leases[id] = &memoryLease{ttl: lease.ttl, expiresAt: m.clock.Now().Add(lease.ttl)}
 	}
-	m.startEra(m.era+1, c.counter)
+	m.startEra(m.revision.Era()+1, c.counter)
 	m.notifyWatchers()
 }
 
--- a/store/store.go
+++ b/store/store.go
@@ -31,6 +31,16 @@
 	return Revision(uint64(era)<<counterBits | counter), nil
 }
 
+// MustRevision is like NewRevision for eras and counters that are known to be in range, such as those of a test. It panics
+// if they are not.
+func MustRevision(era Era, counter uint64) Revision {
+	revision, err := NewRevision(era, counter)
+	if err != nil {
+		panic(err)
+	}
+	return revision
+}
+
 // Era returns the era of the revision.
 func (r Revision) Era() Era { return Era(r >> counterBits) }
 
@@ -116,6 +126,13 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 }
 
+// EraStore is a Store that observes its era.
+type EraStore interface {
+	Store
+	// Era returns the newest observed era, or zero if none was observed.
+	Era() Era
+}
+
 // ConflictError reports that a condition did not hold. The transaction was not applied.
 type ConflictError struct {
 	// Current holds the current state of the items that the conditions refer to.
