refactor(link): one test for a refused connection

The probe of the control goroutine and the check after a lost answer dialed the backend server by the same code. Both call link.IsRefused now, with the timeouts they had. Behaviour is unchanged.

--- a/backend/client.go
+++ b/backend/client.go
@@ -8,7 +8,6 @@
 	"errors"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -64,12 +63,7 @@
 
 // HasEnded reports whether no process listens at the server's address.
 func (client *Client) HasEnded(ctx context.Context) bool {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", client.address)
-	if err == nil {
-		_ = conn.Close() // only whether connecting succeeds matters
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return link.IsRefused(ctx, client.address, dialTimeout)
 }
 
 // Do sends a call once to the given instance of the backend server and returns its result. An empty instance means any.
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/platform"
@@ -303,14 +301,9 @@
 	s.nextProbeAt = now.Add(probeInterval)
 	instance := s.heartbeat.Instance
 	c.async(func(ctx context.Context) func(ownership.Instant) {
-		dialer := net.Dialer{Timeout: probeTimeout}
-		conn, err := dialer.DialContext(ctx, "tcp", s.address)
-		if err == nil {
-			_ = conn.Close() // the probe only checks that connecting succeeds
-		}
+		isRefused := link.IsRefused(ctx, s.address, probeTimeout)
 		return func(now ownership.Instant) {
 			s.isProbing = false
-			isRefused := errors.Is(err, syscall.ECONNREFUSED)
 			if isRefused && s.heartbeat.Instance == instance {
 				c.setServer(now, ownership.ServerEnded, "connection refused")
 				c.updateDataPlane(now)
--- a/link/closed.go
+++ b/link/closed.go
@@ -1,9 +1,11 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,3 +30,14 @@
 	})
 	return isClosed || err != nil
 }
+
+// IsRefused reports whether a host refuses connections to an address, which means that no process listens there. A host
+// that does not answer within the timeout refuses nothing.
+func IsRefused(ctx context.Context, address string, timeout time.Duration) bool {
+	dialer := net.Dialer{Timeout: timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close() // only whether connecting succeeds matters
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if len(c.ids) == maxRecentIDs {
-		c.ids = append(c.ids[:0], c.ids[1:]...)
+		c.ids = slices.Delete(c.ids, 0, 1)
 	}
 	c.ids = append(c.ids, id)
 }
