refactor: simplify registration and copies of records

The registrar repeated in four places how a registration ends and the next one starts. A copy of a record listed every field, so that a new field could be forgotten. State what the version of a replicated entry is, since it does not follow the store's counter any more.

Behaviour is unchanged.

--- a/membership/registrar.go
+++ b/membership/registrar.go
@@ -171,13 +171,18 @@
 	r.era = era
 	r.isCallOutdated = r.isCallPending
 	r.lease, r.epochRevision = 0, 0
-	r.nextCallAt = now
-	var effects []Effect
-	if r.isRegistered {
-		r.isRegistered = false
-		effects = append(effects, Unregistered{Reason: "the store was restored"})
+	if !r.isRegistered {
+		r.nextCallAt = now
+		return r.Tick(now)
 	}
-	return append(effects, r.Tick(now)...)
+	return r.registerAgain(now, "the store was restored")
+}
+
+// registerAgain reports the end of the registration and starts a new one.
+func (r *Registrar) registerAgain(now ownership.Instant, reason string) []Effect {
+	r.isRegistered = false
+	r.nextCallAt = now
+	return append([]Effect{Unregistered{Reason: reason}}, r.Tick(now)...)
 }
 
 // discardOutdated reports whether the result of the pending call is void, and then ends the call.
@@ -274,12 +279,7 @@
 	case *store.LeaseEndedError:
 		r.isCallPending = false
 		r.lease = 0
-		r.isRegistered = false
-		r.nextCallAt = now
-		effects := []Effect{
-			Unregistered{Reason: "lease " + strconv.FormatUint(uint64(failure.Lease), 10) + " has ended"},
-		}
-		return append(effects, r.Tick(now)...)
+		return r.registerAgain(now, "lease "+strconv.FormatUint(uint64(failure.Lease), 10)+" has ended")
 	default:
 		return r.retryLater(now)
 	}
@@ -290,10 +290,7 @@
 	if !r.isRegistered {
 		return nil
 	}
-	r.isRegistered = false
-	r.nextCallAt = now
-	effects := []Effect{Unregistered{Reason: "epoch in the store is another one"}}
-	return append(effects, r.Tick(now)...)
+	return r.registerAgain(now, "epoch in the store is another one")
 }
 
 // PresenceDeleted records that the store no longer has this host's presence as of a revision, although the lease may
@@ -302,8 +299,5 @@
 	if !r.isRegistered || revision < r.epochRevision {
 		return nil
 	}
-	r.isRegistered = false
-	r.nextCallAt = now
-	effects := []Effect{Unregistered{Reason: "presence was deleted from the store"}}
-	return append(effects, r.Tick(now)...)
+	return r.registerAgain(now, "presence was deleted from the store")
 }
--- a/membership/replica.go
+++ b/membership/replica.go
@@ -12,7 +12,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Version orders the states of an entry. For a store value it is the store revision.
+// Version orders the states of an entry. For a store value it is the store revision, which rises across restores of the
+// store because it starts with the era. For the configuration it is the version that the operator gave it.
 type Version uint64
 
 // Entry is a replicated value, or the tombstone of a deleted one.
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -94,17 +94,11 @@
 
 // nextGeneration returns a copy of the record with the next generation and the given nonce.
 func (r *Record) nextGeneration(nonce string) *Record {
-	return &Record{
-		Service:         r.Service,
-		Era:             r.Era,
-		Generation:      r.Generation + 1,
-		EraGeneration:   r.EraGeneration,
-		Unsettled:       slices.Clone(r.Unsettled),
-		Members:         slices.Clone(r.Members),
-		Keys:            r.Keys.Clone(),
-		Nonce:           nonce,
-		IsEraSettleable: r.IsEraSettleable,
-	}
+	next := *r
+	next.Generation++
+	next.Nonce = nonce
+	next.Unsettled, next.Members, next.Keys = slices.Clone(r.Unsettled), slices.Clone(r.Members), r.Keys.Clone()
+	return &next
 }
 
 // assign assigns a span to a member under a new fence.
--- a/ownership/restore.go
+++ b/ownership/restore.go
@@ -133,10 +133,10 @@
 // isOfEra reports whether a record was written in the present era. A record of a daemon that does not state the era counts
 // as such if the store was never restored, or if it replaces a record of this era that is in force.
 func (m *StateMachine) isOfEra(r *Record, revision store.Revision) bool {
-	if r.Era != 0 || m.era <= firstEra {
-		return r.Era == m.era || r.Era == 0
+	if r.Era != 0 {
+		return r.Era == m.era
 	}
-	return m.record != nil && !m.isRecordOutdated && m.recordRevision.Era() == revision.Era()
+	return m.era <= firstEra || m.record != nil && !m.isRecordOutdated && m.recordRevision.Era() == revision.Era()
 }
 
 // applyOutdated records a record that is in the store but not in force, and has to be written again.
