--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases into target/.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-go build -o ../../target/review-standin .
+go build -buildvcs=false -o ../../target/review-standin .
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -165,9 +165,11 @@
 
 // playOrphans: all processes are killed, and the backends of one zone are lost for good at the same moment.
 func playOrphans(w *world, trouble trouble) error {
-	w.configure(1, map[string]bool{"catalogue": true}, []route{
-		{name: "browse", prefix: "/browse/", kind: "safe", service: "catalogue", timeout: 800, target: 200, attempts: 2},
-	})
+	services := map[string]bool{"catalogue": true}
+	browse := route{
+		name: "browse", prefix: "/browse/", kind: "safe", service: "catalogue", timeout: 800, target: 200, attempts: 2,
+	}
+	w.configure(1, services, []route{browse})
 	for i, zone := range []string{"z1", "z1", "z1", "z1", "z1", "z2"} {
 		if _, err := w.addHost(fmt.Sprintf("h%d", i+1), zone, "catalogue", true); err != nil {
 			return err
@@ -186,6 +188,8 @@
 		return c.share()
 	}
 	before := measure("before the fault", 5*time.Second)
+	browse.timeout = 900
+	w.configure(2, services, []route{browse})
 	if trouble == fullTrouble || trouble == killsOnly {
 		for _, h := range w.hosts {
 			w.killDaemon(h)
