fix(ownership): a refused connection is no end of a server's holds

Cause: the daemon took a refused connection for the end of the process and cleared its holds. A server that shuts down closes its listener first and finishes its requests within its holds. Log of: 'to=ended reason=connection refused' 1.4 s before the exit.

Change: such a server is closed: no new work, keys planned for others, holds kept until they expire. It has ended at once only if it announced no shutdown, a call's connection broke since its last heartbeat, and no call is in progress. That is what a crash does and an orderly shutdown does not.

--- a/backend/client.go
+++ b/backend/client.go
@@ -61,8 +61,11 @@
 // Close closes the idle connections.
 func (client *Client) Close() { client.pool.Close() }
 
-// HasEnded reports whether no process listens at the server's address.
-func (client *Client) HasEnded(ctx context.Context) bool {
+// Active returns the number of calls that are in progress on open connections.
+func (client *Client) Active() int { return client.pool.Active() }
+
+// IsRefusing reports whether no process listens at the server's address.
+func (client *Client) IsRefusing(ctx context.Context) bool {
 	return link.IsRefused(ctx, client.address, dialTimeout)
 }
 
--- a/backend/quarantine.go
+++ b/backend/quarantine.go
@@ -76,11 +76,12 @@
 // observeLostAnswer determines whether the server ended during a call whose connection broke, and reports it. A server
 // that announced its end is no crash.
 func (r *Runner) observeLostAnswer(ctx context.Context, permit *activePermit, c call.Call) (hasEnded bool) {
+	r.onBroken(permit.ServerInstance)
 	if permit.IsLeaving || r.isServerLeaving(permit) {
 		return false
 	}
 	lost := lostCall{id: c.ID, request: c.Fingerprint(), instance: permit.ServerInstance, at: r.clock.Now()}
-	if permit.client.HasEnded(context.WithoutCancel(ctx)) {
+	if permit.client.IsRefusing(context.WithoutCancel(ctx)) {
 		r.reportCrash(lost)
 		return true
 	}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -67,6 +67,8 @@
 	isRejecting atomic.Bool
 	// onUnreachable is called when a call could not connect to the server's address. It must not block.
 	onUnreachable func()
+	// onBroken is called when the server closed the connection of a running call. It must not block.
+	onBroken func(ownership.Instance)
 	// isAssigned is nil if calls never wait for their key.
 	isAssigned     AssignmentCheck
 	noticeObserver NoticeObserver
@@ -98,6 +100,12 @@
 // ObserveNotices sets the observer of what the server states about itself. It must be called before the first call.
 func (r *Runner) ObserveNotices(o NoticeObserver) { r.noticeObserver = o }
 
+// ObserveBrokenCalls sets the observer of calls whose connection the server closed before it answered. It must be called
+// before the first call, and the observer must not block.
+func (r *Runner) ObserveBrokenCalls(onBroken func(instance ownership.Instance)) {
+	r.onBroken = onBroken
+}
+
 // NewRunner returns a runner without a permit, which rejects all calls. It calls onUnreachable, which must not block,
 // when a call could not connect to the server's address.
 func NewRunner(controller *admission.Controller, onUnreachable func(), clock clockwork.Clock) *Runner {
@@ -105,6 +113,7 @@
 		clock:         clock,
 		controller:    controller,
 		onUnreachable: onUnreachable,
+		onBroken:      func(ownership.Instance) {},
 		demand:        map[class.Key]time.Duration{},
 		stated:        newNotices(),
 		quarantine:    quarantine.NewList(clock),
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -74,7 +74,9 @@
 	epoch          ownership.Epoch
 	server         serverState
 	// leavingNotice is set by the goroutines of calls.
-	leavingNotice     atomic.Pointer[leavingNotice]
+	leavingNotice atomic.Pointer[leavingNotice]
+	// brokenCall is set by the goroutines of calls.
+	brokenCall        atomic.Pointer[brokenCall]
 	pendingHeartbeat  pendingHeartbeat
 	expectedHandovers map[ownership.HostID]ownership.Instant
 	gossip            gossipState
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -85,6 +85,9 @@
 		},
 		Invalid: func(err error) { d.observer.inputRejected("backend server", err) },
 	})
+	d.runner.ObserveBrokenCalls(func(instance ownership.Instance) {
+		d.control.brokenCall.Store(&brokenCall{instance: instance, at: o.BootClock.Now()})
+	})
 	d.runner.Quarantine(d.quarantine, s.Host, d.crashReported)
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock)
 	table := caller.NewTable()
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -47,7 +47,13 @@
 // newDaemon returns a daemon that uses the given store and whose control goroutine is running.
 func newDaemon(t *testing.T, s store.Store) *Daemon {
 	t.Helper()
-	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewRealClock()})
+	return newDaemonWith(t, testSettings(), s)
+}
+
+// newDaemonWith is newDaemon with the given settings.
+func newDaemonWith(t *testing.T, with settings.Settings, s store.Store) *Daemon {
+	t.Helper()
+	d := New(with, Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewRealClock()})
 	d.control.store = s
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -20,6 +20,8 @@
 	probeInterval = 250 * time.Millisecond
 	// probeTimeout bounds one probe.
 	probeTimeout = 200 * time.Millisecond
+	// crashWindow is how recently calls of the server must have broken for a refused connection to mean a crash.
+	crashWindow = time.Second
 	// drainMargin is how long before the end of its drain time a draining server gets its last new work, so that no
 	// call is still in transit when it ends.
 	drainMargin = 300 * time.Millisecond
@@ -44,6 +46,11 @@
 	client      *backend.Client
 }
 
+// isClosed reports whether the server refuses connections.
+func (s *serverState) isClosed() bool {
+	return s.state == ownership.ServerClosed || s.state == ownership.ServerEnded
+}
+
 // usableDrainTime returns how long a server gets new work after it began to drain.
 func usableDrainTime(drainTime time.Duration) time.Duration { return drainTime - drainMargin }
 
@@ -205,7 +212,7 @@
 func (c *control) applyLeavingNotice(now ownership.Instant) {
 	notice := c.leavingNotice.Swap(nil)
 	s := &c.server
-	if notice == nil || notice.instance != s.heartbeat.Instance.ID || s.state == ownership.ServerEnded {
+	if notice == nil || notice.instance != s.heartbeat.Instance.ID || s.isClosed() {
 		return
 	}
 	c.serverLeaves(now, s.heartbeat.Instance, "response to "+string(notice.request))
@@ -260,15 +267,22 @@
 	}
 	c.serverLeaves(now, s.heartbeat.Instance, "deregistered")
 	s.hasDeregistered = true
-	c.setServer(now, ownership.ServerDraining, "deregistered")
+	if !s.isClosed() {
+		c.setServer(now, ownership.ServerDraining, "deregistered")
+	}
 	c.updateDataPlane(now)
 }
 
 // checkServer detects that the server has become silent or has ended.
 func (c *control) checkServer(now ownership.Instant) {
 	s := &c.server
-	if s.state == ownership.ServerUnknown || s.state == ownership.ServerEnded {
+	switch s.state {
+	case ownership.ServerUnknown, ownership.ServerEnded:
 		return
+	case ownership.ServerClosed:
+		c.checkClosedServer(now)
+		return
+	default:
 	}
 	age := now.Sub(s.heartbeatAt)
 	if s.state == ownership.ServerReady && age > time.Duration(silentHeartbeats*float64(s.heartbeatInterval)) {
@@ -284,7 +298,7 @@
 // any goroutine and does not block. When many calls fail at the same time, one request is enough.
 func (c *control) probeServerSoon() {
 	probe := func(now ownership.Instant) {
-		if !c.server.isProbing && now >= c.server.nextProbeAt && c.server.state != ownership.ServerEnded {
+		if !c.server.isProbing && now >= c.server.nextProbeAt && !c.server.isClosed() {
 			c.probeServer(now)
 		}
 	}
@@ -294,7 +308,52 @@
 	}
 }
 
-// probeServer tries to connect to the server. A refused connection means that its process has ended.
+// checkClosedServer detects that a server that refuses connections has ended. Nothing depends on its end any more once
+// its holds have expired.
+func (c *control) checkClosedServer(now ownership.Instant) {
+	switch {
+	case c.hasServerCrashed(now):
+		c.setServer(now, ownership.ServerEnded, "calls broken")
+	case c.machine.HaveHoldsExpired(now):
+		c.setServer(now, ownership.ServerEnded, "holds expired")
+	}
+}
+
+// brokenCall is a call whose connection the server closed before it answered.
+type brokenCall struct {
+	instance ownership.Instance
+	at       ownership.Instant
+}
+
+// logRefused logs what the end of a server that refuses connections is judged by.
+func (c *control) logRefused(now ownership.Instant) {
+	s := &c.server
+	active, brokenAgeMS := 0, int64(-1)
+	if s.client != nil {
+		active = s.client.Active()
+	}
+	if broken := c.brokenCall.Load(); broken != nil && broken.instance == s.heartbeat.Instance {
+		brokenAgeMS = now.Sub(broken.at).Milliseconds()
+	}
+	c.log.Info("backend server refuses connections", "instance", s.heartbeat.Instance.String(),
+		"is_leaving", s.usableUntil != 0, "active_calls", active, "broken_call_age_ms", brokenAgeMS,
+		"heartbeat_age_ms", now.Sub(s.heartbeatAt).Milliseconds())
+}
+
+// hasServerCrashed reports whether the process of a server that refuses connections has ended. A server that shuts down
+// closes its listener first and then finishes its calls, or closes their connections before it exits, so a refused
+// connection shows no end by itself. Calls that broke although the server had announced no shutdown do.
+func (c *control) hasServerCrashed(now ownership.Instant) bool {
+	s := &c.server
+	broken := c.brokenCall.Load()
+	isLeaving := s.usableUntil != 0
+	if broken == nil || isLeaving || broken.instance != s.heartbeat.Instance || broken.at <= s.heartbeatAt {
+		return false
+	}
+	return now.Sub(broken.at) <= crashWindow && s.client.Active() == 0
+}
+
+// probeServer tries to connect to the server, and closes it to new work if the connection is refused.
 func (c *control) probeServer(now ownership.Instant) {
 	s := &c.server
 	s.isProbing = true
@@ -305,7 +364,9 @@
 		return func(now ownership.Instant) {
 			s.isProbing = false
 			if isRefused && s.heartbeat.Instance == instance {
-				c.setServer(now, ownership.ServerEnded, "connection refused")
+				c.logRefused(now)
+				c.setServer(now, ownership.ServerClosed, "connection refused")
+				c.checkClosedServer(now)
 				c.updateDataPlane(now)
 			}
 		}
--- a/link/link.go
+++ b/link/link.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -90,6 +91,8 @@
 	clock   clockwork.Clock
 	dialer  net.Dialer
 
+	active atomic.Int64
+
 	mu       sync.Mutex
 	idle     []*conn
 	isClosed bool
@@ -146,7 +149,9 @@
 		return nil, &UnsentError{Cause: err}
 	}
 	c.recordID(id)
+	p.active.Add(1)
 	response, err := c.exchange(ctx, r, accepts, p.options.MaxBody)
+	p.active.Add(-1)
 	if err != nil {
 		_ = c.Close() // it may already be closed
 		return nil, err
@@ -155,6 +160,9 @@
 	return response, nil
 }
 
+// Active returns the number of requests that are in progress on open connections.
+func (p *Pool) Active() int { return int(p.active.Load()) }
+
 // acquire returns a clean idle connection that has not carried the ID, or a new one.
 func (p *Pool) acquire(ctx context.Context, id string) (*conn, error) {
 	for {
--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 )
 
@@ -214,6 +215,11 @@
 	return now >= m.unknownHoldsUntil && m.holdsNone(now, span)
 }
 
+// HaveHoldsExpired reports whether it is certain that the backend server holds no keys.
+func (m *StateMachine) HaveHoldsExpired(now Instant) bool {
+	return m.isFree(now, keyspace.Span{To: class.KeyCount - 1})
+}
+
 // isFreeOfEarlierInstances reports whether the keys of the span are free for a new instance of the backend server while
 // the record still names an earlier one. Keys are granted only to the instance that the record names, and an instance
 // that started earlier than the present one has ended. So if the present instance started later than the named one, no
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -23,6 +23,9 @@
 	ServerDraining // draining
 	// ServerSilent means that the heartbeats stopped. The backend server may hold keys until its holds expire.
 	ServerSilent // silent
+	// ServerClosed means that the backend server refuses connections. A process that is shutting down does so while it
+	// finishes its requests, so it may hold keys until its holds expire.
+	ServerClosed // closed
 	// ServerEnded means that the process has exited, and with it all its holds.
 	ServerEnded // ended
 )
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -23,7 +23,7 @@
 	switch m.serverState {
 	case ServerReady:
 		return m.planRebalance(now, self)
-	case ServerDraining, ServerSilent, ServerEnded:
+	case ServerDraining, ServerSilent, ServerClosed, ServerEnded:
 		return m.planEvacuation(now, self)
 	default:
 		return nil
@@ -176,7 +176,7 @@
 const releaseDelay = 150 * time.Millisecond
 
 // announceMoves notifies the new owners of moving keys when they will be assigned them. It sends nothing if the backend
-// server is silent, because its keys become free only when its holds expire.
+// server is silent or closed, because its keys become free only when its holds expire.
 func (m *StateMachine) announceMoves(now Instant, moves []placement.Move) []Effect {
 	delay := releaseDelay
 	switch m.serverState {
--- a/ownership/serverstate_string.go
+++ b/ownership/serverstate_string.go
@@ -12,12 +12,13 @@
 	_ = x[ServerReady-1]
 	_ = x[ServerDraining-2]
 	_ = x[ServerSilent-3]
-	_ = x[ServerEnded-4]
+	_ = x[ServerClosed-4]
+	_ = x[ServerEnded-5]
 }
 
-const _ServerState_name = "unknownreadydrainingsilentended"
+const _ServerState_name = "unknownreadydrainingsilentclosedended"
 
-var _ServerState_index = [...]uint8{0, 7, 12, 20, 26, 31}
+var _ServerState_index = [...]uint8{0, 7, 12, 20, 26, 32, 37}
 
 func (i ServerState) String() string {
 	idx := int(i) - 0
--- a/ownership/simulation_server_test.go
+++ b/ownership/simulation_server_test.go
@@ -22,7 +22,7 @@
 
 func (sim *simulation) sendHeartbeat(h *simHost, next func()) {
 	s := &h.server
-	if !s.isUp {
+	if !s.isUp || s.isClosed {
 		next()
 		return
 	}
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -36,6 +36,7 @@
 	fenceNotRaised            // keys get new owners without higher fences
 	restoreUnnoticed          // hosts do not observe the era of the store
 	noSettlementWait          // hosts do not wait for the authority of those that do not know of a restore
+	closedTakenForEnded       // a server that refuses connections is taken for ended while its holds last
 	eraGapMissing             // the first record of an era does not skip the generations that may have been lost
 
 	mutationCount
@@ -45,7 +46,7 @@
 	"none", "no wait for the authority", "lease not ended", "lost epoch not in the conditions", "no fresh read",
 	"own epoch not in the conditions", "authority from the answer", "restarted daemon grants immediately",
 	"unconfirmed write forgotten", "monotonic clock", "hold beyond authority", "fence not raised",
-	"restore unnoticed", "no wait after a restore", "no gap between eras",
+	"restore unnoticed", "no wait after a restore", "closed listener taken for the end", "no gap between eras",
 }
 
 // Durations of the simulation, a tenth of the default ones.
@@ -112,8 +113,10 @@
 
 // simServer is a backend server that complies with the heartbeat responses.
 type simServer struct {
-	instance   ownership.Instance
-	isUp       bool
+	instance ownership.Instance
+	isUp     bool
+	// isClosed marks a server that has stopped listening and sends no more heartbeats, but finishes its requests.
+	isClosed   bool
 	sequence   uint64
 	holds      keyspace.Map[serverHold]
 	seenFences keyspace.Map[ownership.Fence]
@@ -393,7 +396,7 @@
 		peers = append(peers, ownership.Peer{
 			Host:        h.id,
 			IsPresent:   err == nil && item.Revision != 0 && (sim.faultsOff || sim.random.IntN(50) > 0),
-			IsEligible:  h.server.isUp,
+			IsEligible:  h.server.isUp && !h.server.isClosed,
 			Instance:    h.server.instance,
 			Concurrency: 4,
 			Load:        4 * sim.random.Float64(),
@@ -431,9 +434,35 @@
 	})
 }
 
+// closeServer makes a backend server refuse connections until it exits. Its daemon notices the refused connection.
+func (sim *simulation) closeServer(h *simHost, length time.Duration) {
+	s := &h.server
+	if !s.isUp || s.isClosed {
+		return
+	}
+	s.isClosed = true
+	state := ownership.ServerClosed
+	if sim.mutation == closedTakenForEnded {
+		state = ownership.ServerEnded
+	}
+	sim.runOnDaemon(h, h.daemonRun, func() { sim.applyEffects(h, h.machine.SetServerState(sim.bootTime(h), state)) })
+	instance := s.instance
+	sim.schedule(length/4, func() {
+		if h.server.instance != instance {
+			return
+		}
+		h.server.isUp = false
+		sim.schedule(length/4, func() {
+			if h.server.instance == instance {
+				sim.startServer(h)
+			}
+		})
+	})
+}
+
 func (sim *simulation) injectFault(h *simHost) {
 	length := time.Duration(sim.random.Int64N(int64(1500 * time.Millisecond)))
-	kind := sim.random.IntN(10)
+	kind := sim.random.IntN(11)
 	sim.tracef("%s fault %d for %s", h.id, kind, length)
 	switch kind {
 	case 0: // the daemon restarts while the backend server keeps running
@@ -470,6 +499,8 @@
 	case 7: // the backend server drains or is silent for a while
 		state := ownership.ServerDraining + ownership.ServerState(sim.random.IntN(2))
 		sim.runOnDaemon(h, h.daemonRun, func() { sim.applyEffects(h, h.machine.SetServerState(sim.bootTime(h), state)) })
+	case 10: // the backend server shuts down: it stops listening, finishes its requests and exits, and another starts
+		sim.closeServer(h, length)
 	case 8: // busy keys appear
 		loads := map[class.Key]float64{}
 		for range 20 {
