fix(daemon): connections linger until their last response has arrived

Cause: a draining daemon closes each connection after its response, and net/http closes the socket at once. A socket with unread bytes, here the requests sent ahead, is reset, and the unsent part of the response is dropped.

Change: accepted connections send the end of the stream, discard what still arrives, and are released when the other side closes them, after 5 s at most and 0.3 s at the end of the process.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,7 @@
 	quarantine    *quarantine.List
 	hops          *peer.HopClient
 	callerServer  *limitedServer
+	lingerer      *lingerer
 	options       Options
 	isStopping    atomic.Bool
 }
@@ -69,6 +70,7 @@
 		clock:    o.Clock,
 		registry: metrics.NewRegistry(),
 		options:  o,
+		lingerer: newLingerer(),
 		events:   timeline.NewRecorder(string(s.Host), s.Timeline.Events, o.Clock),
 	}
 	d.quarantine = quarantine.NewList(o.Clock)
@@ -158,6 +160,7 @@
 		"failure_domain", d.settings.FailureDomain, "backend_server", d.settings.Backend.Address)
 	err := group.Run()
 	cancel()
+	d.lingerer.finish()
 	d.control.wait()
 	d.log.Info("daemon stopped", "reason", errorText(err))
 	if _, isRequested := err.(*shutdownError); isRequested {
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -60,7 +60,7 @@
 		ErrorLog:          d.observer.httpErrorLog(name),
 		ConnContext:       peer.WithConn,
 	}
-	group.Add(func() error { return ignoreServerClosed(server.Serve(listener)) }, func(error) {
+	group.Add(func() error { return ignoreServerClosed(server.Serve(d.lingerer.listen(listener))) }, func(error) {
 		_ = server.Close() // running requests end with the process
 	})
 	return nil
@@ -116,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	group.Add(func() error { return d.callerServer.serve(listener) }, func(error) {
+	group.Add(func() error { return d.callerServer.serve(d.lingerer.listen(listener)) }, func(error) {
 		_ = listener.Close() // it may be closed already
 		d.callerServer.close()
 	})
