fix(daemon): departures of a server bind the next process of its daemon

Cause: what binds a daemon after an acknowledgement was in the memory of one process; for a new one any heartbeat is the newest.

Change: departures are kept in the store and with all daemons, by gossip, under the instance's ID and start time. Departed instances get no work. A deregistration before the first heartbeat is recorded and no longer ignored.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -77,6 +77,7 @@
 	leavingNotice atomic.Pointer[leavingNotice]
 	// brokenCall is set by the goroutines of calls.
 	brokenCall        atomic.Pointer[brokenCall]
+	departure         departureState
 	pendingHeartbeat  pendingHeartbeat
 	expectedHandovers map[ownership.HostID]ownership.Instant
 	gossip            gossipState
@@ -134,6 +135,7 @@
 		expectedHandovers: map[ownership.HostID]ownership.Instant{},
 		reportedRequests:  map[call.Fingerprint]bool{},
 		loadMeter:         newLoadMeter(o.Clock.Now()),
+		departure:         departureState{isKnown: make(chan struct{})},
 	}
 	c.gossip = newGossipState(o.BootClock.Now())
 	c.server = newServerState(d.settings, o.BootClock.Now())
@@ -146,6 +148,7 @@
 func (c *control) run(ctx context.Context) error {
 	c.ctx = ctx
 	c.notifier = peer.NewNotifier(ctx, c.daemon.settings.AdvertisedControlAddress(), c.daemon.registry)
+	c.readDeparture()
 	ticker := c.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -91,6 +91,9 @@
 	if e.Key == platform.ConfigKey {
 		return c.applyConfigEntry(now, e)
 	}
+	if strings.HasPrefix(e.Key, c.layout.DeparturePrefix()) {
+		return c.applyDepartureEntry(now, e)
+	}
 	revision := store.Revision(e.Version)
 	if c.isOfLostEra(revision) || e.Version <= c.replica.Get(e.Key).Version {
 		return false
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -96,6 +96,7 @@
 			for _, e := range entries {
 				c.applyEntry(now, e)
 			}
+			c.departureKnown(from)
 			c.updateDataPlane(now)
 		}
 	})
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -115,7 +115,9 @@
 	ctx context.Context, heartbeat ownership.Heartbeat,
 ) (ownership.HeartbeatResponse, error) {
 	c := h.control
+	c.awaitDepartures(ctx)
 	results := make(chan heartbeatResult, 1)
+	var stored <-chan struct{}
 	c.post(ctx, func(now ownership.Instant) {
 		if ctx.Err() != nil {
 			// The server no longer waits for the response. It would not receive the grants that this daemon relies on.
@@ -125,11 +127,15 @@
 			results <- heartbeatResult{err: err}
 			return
 		}
+		if heartbeat.IsDraining {
+			stored = c.departure.stored
+		}
 		c.queueHeartbeat(now, pendingHeartbeat{ctx: ctx, results: results})
 		c.updateDataPlane(now)
 	})
 	select {
 	case result := <-results:
+		c.awaitStored(ctx, stored)
 		return result.response, result.err
 	case <-ctx.Done():
 		return ownership.HeartbeatResponse{}, ctx.Err()
@@ -140,12 +146,15 @@
 func (h heartbeatHandler) Deregister(ctx context.Context, id string, born int64) error {
 	done := make(chan struct{})
 	c := h.control
+	var stored <-chan struct{}
 	c.post(ctx, func(now ownership.Instant) {
 		c.deregister(now, id, born)
+		stored = c.departure.stored
 		close(done)
 	})
 	select {
 	case <-done:
+		c.awaitStored(ctx, stored)
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -174,10 +183,11 @@
 		s.usableUntil = 0
 		c.replaceClient(heartbeat)
 	}
-	if heartbeat.IsDraining {
+	if heartbeat.IsDraining && !c.departure.newest.Covers(heartbeat.Instance) {
 		c.serverLeaves(now, heartbeat.Instance, "heartbeat")
 	}
 	s.heartbeat = heartbeat
+	c.applyDeparture(now)
 	s.heartbeatAt = now
 	s.warmupUntil = now.Add(heartbeat.WarmupLeft)
 	state := ownership.ServerReady
@@ -200,6 +210,7 @@
 	c.server.usableUntil = now.Add(usable)
 	c.log.Info("backend server is draining", "instance", instance.String(), "reason", reason,
 		"usable_ms", usable.Milliseconds())
+	c.recordDeparture(instance)
 }
 
 // leavingNotice reports that an instance of the server stated in the response to a request that it is leaving.
@@ -259,7 +270,14 @@
 // deregister records that the server is ending and sends no more heartbeats.
 func (c *control) deregister(now ownership.Instant, id string, born int64) {
 	s := &c.server
+	leaving := ownership.Instance{ID: id, Born: born}
 	isOther := s.heartbeat.Instance.ID != id || born != 0 && born != s.heartbeat.Instance.Born
+	if isOther && (s.heartbeat.Instance == ownership.Instance{} || born > s.heartbeat.Instance.Born) {
+		// No heartbeat of this instance has reached this process. One that was sent before may still do so.
+		c.log.Info("backend server deregistered before its first heartbeat", "instance", leaving.String())
+		c.recordDeparture(leaving)
+		return
+	}
 	if isOther {
 		c.log.Warn("deregistration ignored: it is not from the current instance", "id", id, "born", born,
 			"instance", s.heartbeat.Instance.String())
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -157,7 +158,8 @@
 // logOutdated logs a value of the store that will not be applied, because a newer one is known.
 func (c *control) logOutdated(item store.Item) {
 	known := store.Revision(c.replica.Get(item.Key).Version)
-	if item.Key != platform.ConfigKey && item.Revision < known {
+	hasOwnVersion := item.Key == platform.ConfigKey || strings.HasPrefix(item.Key, c.layout.DeparturePrefix())
+	if !hasOwnVersion && item.Revision < known {
 		c.observer.staleValue(item.Key, item.Revision, known)
 	}
 }
@@ -169,6 +171,9 @@
 		found[item.Key] = true
 	}
 	for _, e := range c.replica.List(prefix) {
+		if strings.HasPrefix(e.Key, c.layout.DeparturePrefix()) {
+			continue // a departure may be known before the store has it, and is never deleted
+		}
 		isOlder := e.Version < membership.Version(read.Revision)
 		if !found[e.Key] && isOlder {
 			c.applyStoreEntries(now, membership.Entry{
--- a/ownership/layout.go
+++ b/ownership/layout.go
@@ -13,5 +13,11 @@
 // Epoch returns the store key of a host's epoch. The epoch persists when the host's leases end.
 func (l StoreLayout) Epoch(host HostID) string { return l.Prefix + "epochs/" + string(host) }
 
+// DeparturePrefix returns the prefix of the keys of departures.
+func (l StoreLayout) DeparturePrefix() string { return l.Prefix + "departures/" }
+
+// Departure returns the store key of the newest departure of a host's backend server.
+func (l StoreLayout) Departure(host HostID) string { return l.DeparturePrefix() + string(host) }
+
 // Presence returns the store key of a host's presence, which is attached to the host's lease.
 func (l StoreLayout) Presence(host HostID) string { return l.Prefix + "hosts/" + string(host) }
