fix(daemon): each daemon bounds the age of its configuration

Cause: one daemon a failure domain watches the store. It pauses 0.9 s after a change, and the others took its place only when its last announcement was 2.55 s old.

Change: watchers confirm the newest version to their domain every 0.3 s. A daemon without a confirmation for 0.9 to 1.3 s reads the configuration and confirms it to the others. The pause is 0.5 s, a watch 0.8 s. While the watcher says that the store does not answer it, only two others read.

Tests: TestConfigurationIsReadWhenTheWatcherFallsSilent fails on (old version in force after 2 s).

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -78,6 +78,7 @@
 	// brokenCall is set by the goroutines of calls.
 	brokenCall        atomic.Pointer[brokenCall]
 	departure         departureState
+	beacon            beaconState
 	pendingHeartbeat  pendingHeartbeat
 	expectedHandovers map[ownership.HostID]ownership.Instant
 	gossip            gossipState
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -356,6 +356,9 @@
 	if now >= c.gossip.nextAnnounceAt {
 		c.announce(now)
 	}
+	if c.beacon.isWatching && now >= c.beacon.nextAt {
+		c.sendBeacon(now)
+	}
 	if now >= c.gossip.nextGossipAt {
 		c.gossip.nextGossipAt = now.Add(c.gossip.batchInterval)
 		c.gossipPending()
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -46,6 +46,9 @@
 		c.pushLocal(applied)
 	}
 	c.applyAnnouncements(now, update.Announcements, update.Forward)
+	if update.Beacon != nil {
+		c.handleBeacon(now, update.From, *update.Beacon)
+	}
 	if update.Handover != nil {
 		c.expectHandover(now, *update.Handover)
 	}
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/platform"
@@ -22,15 +19,12 @@
 	maxGossipSilence = 1500 * time.Millisecond
 	// watchBatchDelay is the pause before the next watch call. Every call has a cost, so changes accumulate during the
 	// pause. Gossip delivers records and presences sooner, and a configuration from the watcher that sees it first; a
-	// configuration may take up to 2 s.
-	watchBatchDelay = 900 * time.Millisecond
-	// configPatience is how long after its start a daemon waits for a configuration from other daemons before it reads
-	// the store, and the pause between such reads.
-	configPatience = 2500 * time.Millisecond
+	// configuration may take up to 2 s, also if the watcher ends during the pause.
+	watchBatchDelay = 500 * time.Millisecond
 	// maxRegistrationWait bounds how long the first read waits for the registration of this host.
 	maxRegistrationWait = 1500 * time.Millisecond
 	// watcherCheckInterval is how often a daemon that does not watch checks whether it has become a watcher.
-	watcherCheckInterval = 500 * time.Millisecond
+	watcherCheckInterval = 100 * time.Millisecond
 	// minStoreRetryDelay and maxStoreRetryDelay bound the delay after a failed watch or read.
 	minStoreRetryDelay = 150 * time.Millisecond
 	maxStoreRetryDelay = time.Second
@@ -55,12 +49,13 @@
 			isStarted = err == nil
 		case c.shouldWatch(ctx):
 			err = c.readAndWatch(ctx)
+			c.setWatching(ctx, err != nil, err != nil)
 		case c.ask(ctx, c.isRestoreUnread):
 			_, err = c.readAll(ctx)
-		case c.isConfigOverdue(ctx):
-			err = c.readConfig(ctx)
-			c.sleep(ctx, configPatience)
+		case c.ask(ctx, c.isConfigUnconfirmed):
+			err = c.confirmConfig(ctx)
 		default:
+			c.setWatching(ctx, false, false)
 			c.sleep(ctx, watcherCheckInterval)
 		}
 		if err == nil {
@@ -95,6 +90,7 @@
 	if err != nil {
 		return err
 	}
+	c.setWatching(ctx, true, false)
 	return c.watch(ctx, revision)
 }
 
@@ -125,14 +121,6 @@
 	return nil
 }
 
-// isConfigOverdue reports whether this daemon has been without a configuration for longer than other daemons need to
-// send it.
-func (c *control) isConfigOverdue(ctx context.Context) bool {
-	return c.ask(ctx, func(now ownership.Instant) bool {
-		return c.config == nil && now.Sub(c.gossip.startedAt) > configPatience
-	})
-}
-
 func (c *control) applyItems(now ownership.Instant, items []store.Item) {
 	entries := make([]membership.Entry, 0, len(items))
 	for _, item := range items {
@@ -212,6 +200,7 @@
 			c.applyItems(now, changes.Items)
 			c.updateDataPlane(now)
 		})
+		c.setWatching(ctx, true, false)
 		if len(changes.Items) > 0 {
 			c.sleep(ctx, watchBatchDelay)
 		}
@@ -239,16 +228,10 @@
 	if now.Sub(c.gossip.receivedAt) > maxGossipSilence {
 		return true
 	}
-	var localHashes []uint64
-	ownHash := xxhash.Sum64String(string(c.self))
-	for _, h := range c.roster.Hosts() {
-		mayWatch := h.Host == c.self || c.isAlive(now, h) && !h.Announcement.IsStoreUnreachable
-		if h.Domain == c.daemon.settings.FailureDomain && mayWatch {
-			localHashes = append(localHashes, xxhash.Sum64String(string(h.Host)))
-		}
-	}
-	slices.Sort(localHashes)
-	return slices.Index(localHashes, ownHash) < watchersPerDomain
+	rank := c.watchRank(func(h *membership.Host) bool {
+		return c.isAlive(now, h) && !h.Announcement.IsStoreUnreachable
+	})
+	return rank < watchersPerDomain
 }
 
 // isAlive reports whether a host has announced itself within the last one and a half intervals. A registered host
--- a/peer/control.go
+++ b/peer/control.go
@@ -68,10 +68,20 @@
 	Reports []quarantine.Report `json:"reports,omitempty"`
 	// Handover notifies the receiver that a host is about to hand keys over to it.
 	Handover *HandoverNotice `json:"promise,omitempty"`
+	// Beacon confirms the configuration. Only daemons of the sender's failure domain get it.
+	Beacon *Beacon `json:"beacon,omitempty"`
 	// Forward asks the receiver to forward the update to the other daemons of its failure domain.
 	Forward bool `json:"relay,omitempty"`
 }
 
+// Beacon is the periodic confirmation of a daemon that watches the store for its failure domain.
+type Beacon struct {
+	// Config is the version of the newest configuration in the store.
+	Config membership.Version `json:"config"`
+	// IsFailing reports that the store does not answer the sender, which therefore confirms nothing.
+	IsFailing bool `json:"failing,omitempty"`
+}
+
 // HandoverNotice announces that a host will hand keys over to the receiver.
 type HandoverNotice struct {
 	// Source is the host that hands the keys over.
