fix(link): all incomplete bodies of a daemon together have a bound

Report of operators: a faulty server sent bytes without end, and the machine that had called it ran out of memory; the requests of other callers ended too.

Cause here: each head and each body had a limit, all of them together had none. 64 calls whose bodies stall after 7 MiB held 563 MB (a host has 284 MB or less).

An answer beyond the bound is lost, a request is rejected as not run.

--- a/backend/client.go
+++ b/backend/client.go
@@ -58,6 +58,9 @@
 	}, clock)}
 }
 
+// LimitMemory bounds the memory of incomplete responses. It must be called before the first call.
+func (client *Client) LimitMemory(m *link.Memory) { client.pool.LimitMemory(m) }
+
 // Close closes the idle connections.
 func (client *Client) Close() { client.pool.Close() }
 
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -15,6 +14,7 @@
 
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/link"
 )
 
 // Config is the operators' configuration with the router that is built from its classes.
@@ -40,6 +40,7 @@
 	origin      class.Service
 	onFinished  func(FinishedCall)
 	config      atomic.Pointer[Config]
+	memory      *link.Memory
 	isDraining  atomic.Bool
 	isRejecting atomic.Bool
 	active      atomic.Int64
@@ -54,6 +55,9 @@
 	return &Handler{clock: clock, relay: relay, headerNames: headerNames, origin: origin, onFinished: onFinished}
 }
 
+// LimitMemory bounds the memory of incomplete requests. It must be called before the first call.
+func (h *Handler) LimitMemory(m *link.Memory) { h.memory = m }
+
 // SetConfig replaces the configuration for calls that arrive from now on.
 func (h *Handler) SetConfig(c *class.Config) {
 	h.config.Store(&Config{Config: c, Router: class.NewRouter(c.Classes)})
@@ -185,14 +189,17 @@
 	if maxBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, maxBytes)
 	}
-	body, err := io.ReadAll(reader)
+	body, err := h.memory.ReadAll(reader)
 	var tooLarge *http.MaxBytesError
+	var memory *link.MemoryError
 	switch {
 	case err == nil:
 		_ = connection.SetReadDeadline(time.Time{}) // as above
 		return body, call.None
 	case errors.As(err, &tooLarge):
 		return nil, call.TooLarge
+	case errors.As(err, &memory):
+		return nil, call.Overload
 	case errors.Is(err, context.Canceled):
 		return nil, call.CallerGone
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/peer"
@@ -30,6 +31,10 @@
 // defaultConcurrency is the concurrency limit of the backend server until its first heartbeat, which reports its own.
 const defaultConcurrency = 4
 
+// maxBodyMemory bounds the memory of all incomplete bodies, in bytes. With the garbage collector's share it is a third of
+// the memory of the smallest hosts.
+const maxBodyMemory = 32 << 20
+
 // Options holds the dependencies of a daemon other than its settings.
 type Options struct {
 	Log   hclog.Logger
@@ -55,6 +60,7 @@
 	hops          *peer.HopClient
 	callerServer  *limitedServer
 	lingerer      *lingerer
+	bodyMemory    *link.Memory
 	options       Options
 	isStopping    atomic.Bool
 }
@@ -65,13 +71,14 @@
 		o.BootClock = systemBootClock{}
 	}
 	d := &Daemon{
-		settings: s,
-		log:      o.Log,
-		clock:    o.Clock,
-		registry: metrics.NewRegistry(),
-		options:  o,
-		lingerer: newLingerer(),
-		events:   timeline.NewRecorder(string(s.Host), s.Timeline.Events, o.Clock),
+		settings:   s,
+		log:        o.Log,
+		clock:      o.Clock,
+		registry:   metrics.NewRegistry(),
+		options:    o,
+		lingerer:   newLingerer(),
+		bodyMemory: link.NewMemory(maxBodyMemory),
+		events:     timeline.NewRecorder(string(s.Host), s.Timeline.Events, o.Clock),
 	}
 	d.quarantine = quarantine.NewList(o.Clock)
 	d.observer = newObserver(o.Log, d.registry, d.events, o.Clock, s.Log.LinesPerSecond)
@@ -92,6 +99,7 @@
 	})
 	d.runner.Quarantine(d.quarantine, s.Host, d.crashReported)
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock)
+	d.hops.LimitMemory(d.bodyMemory)
 	table := caller.NewTable()
 	d.runner.WaitForKeys(func(key class.Key) (bool, <-chan struct{}) {
 		route, changed := table.Lookup(s.Service)
@@ -108,6 +116,7 @@
 	relay.HoldBack(d.quarantine)
 	relay.AvoidLeavingServers(platform.Headers().Leaving, usableDrainTime(s.Backend.DrainTime))
 	d.callerHandler = caller.NewHandler(relay, s.Service, platform.Headers(), d.observer.callFinished, o.Clock)
+	d.callerHandler.LimitMemory(d.bodyMemory)
 	d.callerServer = newLimitedServer(d.callerHandler, d.observer.httpErrorLog("caller"))
 	d.control = newControl(d, o, table, relay, budget, seed)
 	return d
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -76,7 +76,7 @@
 
 func (d *Daemon) addHop(_ context.Context, group *run.Group) error {
 	report := func(err error) { d.observer.inputRejected("hop", err) }
-	handler := peer.HopHandler(d.runner, d.settings.Host, d.settings.Service, d.clock, report)
+	handler := peer.HopHandler(d.runner, d.settings.Host, d.settings.Service, d.bodyMemory, d.clock, report)
 	return d.serve(group, "hop", d.settings.ForwardAddress(), handler)
 }
 
--- a/link/conn.go
+++ b/link/conn.go
@@ -129,9 +129,16 @@
 	return err == nil && clean
 }
 
+// bodyLimits bounds the bodies of responses.
+type bodyLimits struct {
+	// maxBytes is the size limit of one body.
+	maxBytes int64
+	memory   *Memory
+}
+
 // exchange sends one request and reads the complete response to it. The end of the context closes the connection.
 func (c *conn) exchange(
-	ctx context.Context, r *http.Request, accepts Acceptor, maxBody int64,
+	ctx context.Context, r *http.Request, accepts Acceptor, limits bodyLimits,
 ) (*Response, error) {
 	isFirst := !c.isUsed
 	c.isUsed = true
@@ -145,7 +152,7 @@
 	}
 	c.head.remaining = maxHeadBytes
 	for range maxResponseReads {
-		response, err := c.readResponse(r, maxBody)
+		response, err := c.readResponse(r, limits)
 		if err != nil {
 			return nil, &LostError{Cause: err}
 		}
@@ -176,7 +183,7 @@
 }
 
 // readResponse reads one response with its complete body and skips informational (1xx) responses before it.
-func (c *conn) readResponse(r *http.Request, maxBody int64) (*Response, error) {
+func (c *conn) readResponse(r *http.Request, limits bodyLimits) (*Response, error) {
 	head, err := http.ReadResponse(c.reader, r)
 	for err == nil && head.StatusCode >= 100 && head.StatusCode < 200 {
 		head, err = http.ReadResponse(c.reader, r)
@@ -185,16 +192,16 @@
 		return nil, err
 	}
 	defer head.Body.Close()
-	if head.ContentLength > maxBody {
+	if head.ContentLength > limits.maxBytes {
 		return nil, &TooLargeError{Bytes: head.ContentLength}
 	}
 	c.head.isInBody = true
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxBody+1))
+	body, err := limits.memory.ReadAll(io.LimitReader(head.Body, limits.maxBytes+1))
 	c.head.isInBody = false
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > maxBody {
+	if int64(len(body)) > limits.maxBytes {
 		return nil, &TooLargeError{Bytes: int64(len(body))}
 	}
 	isDelimited := head.ContentLength >= 0 || len(head.TransferEncoding) > 0
--- a/link/link.go
+++ b/link/link.go
@@ -91,6 +91,7 @@
 	clock   clockwork.Clock
 	dialer  net.Dialer
 
+	memory *Memory
 	active atomic.Int64
 
 	mu       sync.Mutex
@@ -150,7 +151,7 @@
 	}
 	c.recordID(id)
 	p.active.Add(1)
-	response, err := c.exchange(ctx, r, accepts, p.options.MaxBody)
+	response, err := c.exchange(ctx, r, accepts, bodyLimits{maxBytes: p.options.MaxBody, memory: p.memory})
 	p.active.Add(-1)
 	if err != nil {
 		_ = c.Close() // it may already be closed
@@ -160,6 +161,10 @@
 	return response, nil
 }
 
+// LimitMemory bounds the memory of response bodies that are being read, together with that of all other users of the
+// bound. It must be called before the first request.
+func (p *Pool) LimitMemory(m *Memory) { p.memory = m }
+
 // Active returns the number of requests that are in progress on open connections.
 func (p *Pool) Active() int { return int(p.active.Load()) }
 
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -99,6 +99,8 @@
 	// connectQueue holds the new addresses to which MaintainConnections has not connected yet.
 	connectQueue chan string
 
+	memory *link.Memory
+
 	mu    sync.Mutex
 	pools map[string]*link.Pool
 }
@@ -113,6 +115,9 @@
 	}
 }
 
+// LimitMemory bounds the memory of incomplete responses. It must be called before the first call.
+func (h *HopClient) LimitMemory(m *link.Memory) { h.memory = m }
+
 // poolFor returns the connection pool of an address and creates it if there is none.
 func (h *HopClient) poolFor(address string) *link.Pool {
 	h.mu.Lock()
@@ -126,7 +131,7 @@
 }
 
 func (h *HopClient) newPool(address string) *link.Pool {
-	return link.NewPool(address, link.Options{
+	p := link.NewPool(address, link.Options{
 		DialTimeout:      hopDialTimeout,
 		AckTimeout:       hopAckTimeout,
 		IdleTimeout:      hopIdleTimeout,
@@ -135,6 +140,8 @@
 		MaxBody:          hopMaxBody,
 		OnDial:           h.onDial,
 	}, h.clock)
+	p.LimitMemory(h.memory)
+	return p
 }
 
 // SetAddresses closes the connections to all other addresses and queues new addresses for a first connection.
@@ -269,15 +276,20 @@
 }
 
 // HopHandler returns the handler for forwarded calls. It passes the errors of invalid requests to report, and responds
-// that their calls did not run.
+// that their calls did not run. The memory bounds that of incomplete requests.
 func HopHandler(
-	runner CallRunner, host ownership.HostID, service class.Service, clock clockwork.Clock, report func(error),
+	runner CallRunner, host ownership.HostID, service class.Service, memory *link.Memory, clock clockwork.Clock,
+	report func(error),
 ) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, err := parseCall(w, r, clock)
+		c, err := parseCall(w, r, memory, clock)
 		isMisrouted := r.Header.Get(targetHeader) != string(host) || c.Service != service
 		var result call.Result
+		var exceeded *link.MemoryError
 		switch {
+		case errors.As(err, &exceeded):
+			report(err)
+			result = call.NotRun(call.Overload)
 		case err != nil:
 			report(err)
 			result = call.NotRun(call.BadRequest)
@@ -297,7 +309,7 @@
 
 // parseCall decodes a forwarded call. The deadline is sent as the remaining time, so that the hosts' clocks need not
 // agree.
-func parseCall(w http.ResponseWriter, r *http.Request, clock clockwork.Clock) (call.Call, error) {
+func parseCall(w http.ResponseWriter, r *http.Request, memory *link.Memory, clock clockwork.Clock) (call.Call, error) {
 	arrived := clock.Now()
 	remainingUS, err := strconv.ParseInt(r.Header.Get(timeLeftHeader), 10, 64)
 	if err != nil {
@@ -328,7 +340,11 @@
 		c.Key, c.HasKey = class.Key(key), true
 	}
 	if r.ContentLength != 0 {
-		c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, hopMaxBody))
+		c.Body, err = memory.ReadAll(http.MaxBytesReader(w, r.Body, hopMaxBody))
+		var exceeded *link.MemoryError
+		if errors.As(err, &exceeded) {
+			return c, exceeded
+		}
 		if err != nil {
 			return c, &MessageError{Part: "body", Cause: err.Error()}
 		}
--- a/peer/hop_test.go
+++ b/peer/hop_test.go
@@ -33,7 +33,7 @@
 func forward(t *testing.T, runner *recordingRunner, target ownership.HostID, change func(*call.Call)) call.Result {
 	t.Helper()
 	clock := clockwork.NewRealClock()
-	server := httptest.NewServer(peer.HopHandler(runner, "h", "s", clock, func(err error) { t.Log(err) }))
+	server := httptest.NewServer(peer.HopHandler(runner, "h", "s", nil, clock, func(err error) { t.Log(err) }))
 	t.Cleanup(server.Close)
 	c := call.Call{
 		ID:       "id-1",
@@ -145,7 +145,7 @@
 	g.Expect(conn.Close()).To(gomega.Succeed())
 	runner := &recordingRunner{}
 	served := make(chan struct{})
-	handler := peer.HopHandler(runner, "h", "s", clockwork.NewRealClock(), func(err error) { t.Error(err) })
+	handler := peer.HopHandler(runner, "h", "s", nil, clockwork.NewRealClock(), func(err error) { t.Error(err) })
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			defer close(served)
