fix(daemon): a stopping daemon takes no call late that it may cut

Report of operators: in a planned stop, requests that came late in the grace time were passed on and cut at its end.

--- a/backend/runner.go
+++ b/backend/runner.go
@@ -65,6 +65,8 @@
 	current     atomic.Pointer[activePermit]
 	running     atomic.Int64
 	isRejecting atomic.Bool
+	// end is when this daemon ends, or nil if it is not known.
+	end atomic.Pointer[time.Time]
 	// onUnreachable is called when a call could not connect to the server's address. It must not block.
 	onUnreachable func()
 	// onBroken is called when the server closed the connection of a running call. It must not block.
@@ -153,7 +155,16 @@
 // RejectCalls rejects all further calls, because this daemon would end before they finish.
 func (r *Runner) RejectCalls() { r.isRejecting.Store(true) }
 
-// IsRejecting reports whether further calls are rejected.
+// RejectCallsPast rejects further calls whose deadline is after the time at which this daemon ends, which would cut them.
+func (r *Runner) RejectCallsPast(end time.Time) { r.end.Store(&end) }
+
+// isRejected reports whether this daemon would end before the call may.
+func (r *Runner) isRejected(c call.Call) bool {
+	end := r.end.Load()
+	return r.IsRejecting() || end != nil && c.Deadline.After(*end)
+}
+
+// IsRejecting reports whether all further calls are rejected.
 func (r *Runner) IsRejecting() bool { return r.isRejecting.Load() }
 
 // Running returns the number of calls that are running on the server.
@@ -236,7 +247,7 @@
 			continue // the call before it may have ended the server
 		}
 		permit := r.current.Load()
-		if r.IsRejecting() || permit.client == nil || !permit.IsUsable {
+		if r.isRejected(c) || permit.client == nil || !permit.IsUsable {
 			return call.NotRun(call.NotOwner)
 		}
 		if !permit.allows(r.clock.Now(), c) {
@@ -325,7 +336,7 @@
 func (r *Runner) dispatch(ctx context.Context, c call.Call, ticket *admission.Ticket) call.Result {
 	start := r.clock.Now()
 	permit := r.current.Load()
-	if r.IsRejecting() || !permit.allows(start, c) || permit.client == nil {
+	if r.isRejected(c) || !permit.allows(start, c) || permit.client == nil {
 		ticket.Cancel()
 		return call.NotRun(call.NotOwner)
 	}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -238,6 +238,34 @@
 	g.Expect(s.hosts).To(gomega.BeEmpty())
 }
 
+// TestClosingDaemonRefusesSlowBodies covers a request whose head arrives before a stopping daemon rejects requests, and whose
+// body is complete only after that. It used to be passed on late in the grace time and cut at its end.
+func TestClosingDaemonRefusesSlowBodies(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &scriptedSender{}
+	w := serve(s, func(h *caller.Handler, r *http.Request) {
+		r.Method, r.RequestURI, r.URL.Path, r.ContentLength = http.MethodPost, "/w/1", "/w/1", 5
+		r.Body = &closingBody{handler: h, Reader: strings.NewReader("12345")}
+	})
+	g.Expect(w.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(s.hosts).To(gomega.BeEmpty())
+}
+
+// closingBody is a body during which the daemon begins to reject requests.
+type closingBody struct {
+	handler *caller.Handler
+	io.Reader
+}
+
+// Read implements io.Reader.
+func (b *closingBody) Read(p []byte) (int, error) {
+	b.handler.RejectCalls()
+	return b.Reader.Read(p)
+}
+
+// Close implements io.Closer.
+func (*closingBody) Close() error { return nil }
+
 func TestForwardedRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := &scriptedSender{}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -147,6 +147,9 @@
 	if reason != call.None {
 		return c, call.NotRun(reason), false
 	}
+	if h.isRejecting.Load() { // the body may have come slowly
+		return c, call.NotRun(call.Closing), false
+	}
 	c.Body = body
 	call.StripHopByHop(c.Header)
 	call.StripDaemonHeaders(c.Header)
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// shutdownSchedule holds how long after the signal to stop a daemon rejects the requests of callers, rejects all calls
-// for its backend server, and exits even if calls are still running.
+// shutdownSchedule holds how long after the signal to stop a daemon rejects the requests of callers and the calls whose
+// deadline is after its exit, rejects all calls for its backend server, and exits even if calls are still running.
 type shutdownSchedule struct{ rejectCallers, rejectServerCalls, exit time.Duration }
 
 func newShutdownSchedule(grace time.Duration) shutdownSchedule {
@@ -81,6 +81,7 @@
 		elapsed := now.Sub(start)
 		if elapsed >= schedule.rejectCallers {
 			d.callerHandler.RejectCalls()
+			d.runner.RejectCallsPast(start.Add(schedule.exit))
 		}
 		if elapsed >= schedule.rejectServerCalls && !d.runner.IsRejecting() {
 			d.runner.RejectCalls()
