fix(quarantine): crashes at the same time are weak evidence

Cause: each crash counted alone, though one cause may have ended all servers, and a request that is held back can get no answer that clears it.

Change: three crashes hold a request back for ten minutes only if they did not all happen within 10 s of one another; otherwise for 30 s, as two do. The next crash then shows that the request is the cause.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -28,8 +28,13 @@
 	// It may then run once more: it may have been running beside the cause of both crashes.
 	probationCrashes = 2
 	probationTime    = 30 * time.Second
-	// holdCrashes is the number of crashes from which a request is held back for reportTTL.
+	// holdCrashes is the number of crashes from which a request is held back for reportTTL, unless all of them happened at
+	// about the same time.
 	holdCrashes = 3
+	// roundGap is the time between two crashes from which they belong to different rounds. The crashes of one round may have
+	// a common cause, such as a loss of power, beside which a popular request was running on all servers. Only another
+	// round, after probationTime, shows that the request is the cause.
+	roundGap = 10 * time.Second
 	// maxClockSkew is how far the clock of a reporting host may be ahead of the local one.
 	maxClockSkew = time.Minute
 	// maxRequests bounds the number of requests with reports.
@@ -187,6 +192,24 @@
 	return crashes, last
 }
 
+// pendingRounds returns the number of rounds of the crashes since the last answer.
+func (s *suspect) pendingRounds() int {
+	var times []time.Time
+	for _, at := range s.crashes {
+		if at.After(s.answeredAt) {
+			times = append(times, at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	rounds := 0
+	for i, at := range times {
+		if i == 0 || at.Sub(times[i-1]) >= roundGap {
+			rounds++
+		}
+	}
+	return rounds
+}
+
 // Check returns what is known of a call. While there are no reports, it is cheap: it does not compute the fingerprint.
 func (l *List) Check(c call.Call) Verdict {
 	if l.IsEmpty() {
@@ -207,10 +230,11 @@
 	if crashes == 0 {
 		return Verdict{}
 	}
+	hasRecurred := s.pendingRounds() > 1
 	verdict := Verdict{IsSuspected: true, Crashes: crashes}
 	var held time.Duration
 	switch {
-	case crashes >= holdCrashes:
+	case crashes >= holdCrashes && hasRecurred:
 		held = reportTTL
 	case crashes >= probationCrashes:
 		held = probationTime
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -153,7 +153,9 @@
 	request := call.Call{Origin: "shop", Method: "GET", Host: "h", URI: "/menu"}.Fingerprint()
 	for _, host := range []string{"h1", "h2", "h3"} {
 		list.Add(quarantine.Report{Request: request, Crash: crashOf(host), At: clock.Now()})
+		clock.Advance(30 * time.Second)
 	}
+	clock.Advance(-30 * time.Second)
 	fmt.Println(list.Verdict(request).HeldUntil.Sub(clock.Now()))
 	list.Add(quarantine.Report{Request: request, At: clock.Now().Add(time.Second)})
 	fmt.Println(list.Verdict(request).IsSuspected)
