fix(link): request targets are sent byte for byte

Cause: net/http writes a colon before an opaque target of that form, so these targets were parsed and written again, which escapes what is escaped already.

Change: they are opaque like all others, and the colon is removed before the request is sent.

--- a/backend/client.go
+++ b/backend/client.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -148,14 +147,14 @@
 	return call.Result{Outcome: class.Answered, Status: r.Status, Header: r.Header, Body: r.Body}
 }
 
-// NewRequest returns the HTTP request for a call, with the given headers.
+// NewRequest returns the HTTP request for a call, with the given headers. Package link sends its target byte for byte.
 func NewRequest(c call.Call, header http.Header) *http.Request {
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // prevents net/http from adding one, as the caller sent none
 	}
 	request := &http.Request{
 		Method:        c.Method,
-		URL:           requestTarget(c.URI),
+		URL:           &url.URL{Opaque: c.URI},
 		Host:          c.Host,
 		Header:        header,
 		ContentLength: int64(len(c.Body)),
@@ -167,15 +166,6 @@
 	return request
 }
 
-// requestTarget returns a URL that is sent as the given request target, byte for byte.
-func requestTarget(uri string) *url.URL {
-	if strings.HasPrefix(uri, "//") {
-		path, query, _ := strings.Cut(uri, "?")
-		return &url.URL{Path: path, RawPath: path, RawQuery: query}
-	}
-	return &url.URL{Opaque: uri}
-}
-
 // ErrorResult returns the result of a call whose request failed with err: not run if nothing was sent, otherwise
 // unknown.
 func ErrorResult(ctx context.Context, err error, isPastDeadline bool) call.Result {
--- a/link/conn.go
+++ b/link/conn.go
@@ -178,10 +178,20 @@
 	if err := r.Write(requestBuffer); err != nil {
 		return false, err
 	}
-	n, err := c.Write(requestBuffer.Bytes())
+	n, err := c.Write(withOpaqueTarget(requestBuffer.Bytes(), r))
 	return n > 0, err
 }
 
+// withOpaqueTarget returns an encoded request with its opaque target as it is. For a target that begins with two slashes,
+// net/http writes a scheme before it, or only the colon if there is none.
+func withOpaqueTarget(encoded []byte, r *http.Request) []byte {
+	if !strings.HasPrefix(r.URL.Opaque, "//") || r.URL.Scheme != "" {
+		return encoded
+	}
+	colon := len(r.Method) + len(" ")
+	return slices.Delete(encoded, colon, colon+1)
+}
+
 // readResponse reads one response with its complete body and skips informational (1xx) responses before it.
 func (c *conn) readResponse(r *http.Request, limits bodyLimits) (*Response, error) {
 	head, err := http.ReadResponse(c.reader, r)
