fix(daemon): a server that never reports loses its keys

Cause: a daemon that has not had a heartbeat since its start neither probed its server nor planned moves, without a bound.

Its keys are given away once the holds that an earlier daemon process may have granted have expired. A server of which nothing was heard gets no work.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -68,7 +68,7 @@
 	isReady := s.state == ownership.ServerReady
 	a := membership.Announcement{
 		Instance:    s.heartbeat.Instance,
-		IsUsable:    isReady || s.state == ownership.ServerSilent,
+		IsUsable:    isReady || s.state == ownership.ServerSilent && s.client != nil,
 		IsReady:     isReady,
 		Concurrency: s.heartbeat.Concurrency,
 	}
@@ -296,7 +296,7 @@
 func (c *control) checkServer(now ownership.Instant) {
 	s := &c.server
 	switch s.state {
-	case ownership.ServerUnknown, ownership.ServerEnded:
+	case ownership.ServerEnded:
 		return
 	case ownership.ServerClosed:
 		c.checkClosedServer(now)
@@ -304,9 +304,15 @@
 	default:
 	}
 	age := now.Sub(s.heartbeatAt)
-	if s.state == ownership.ServerReady && age > time.Duration(silentHeartbeats*float64(s.heartbeatInterval)) {
+	// A server of which nothing was heard since the start of the daemon may have ended before. Its keys wait for the holds
+	// that an earlier daemon process granted.
+	isExpected := s.state == ownership.ServerReady || s.state == ownership.ServerUnknown
+	if isExpected && age > time.Duration(silentHeartbeats*float64(s.heartbeatInterval)) {
 		c.setServer(now, ownership.ServerSilent, "no heartbeat")
 	}
+	if s.state == ownership.ServerUnknown {
+		return
+	}
 	mayHaveEnded := s.hasDeregistered || age > s.heartbeatInterval+s.heartbeatInterval/3
 	if mayHaveEnded && !s.isProbing && now >= s.nextProbeAt {
 		c.probeServer(now)
--- a/ownership/machine_test.go
+++ b/ownership/machine_test.go
@@ -242,3 +242,31 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(raised.Keys.At(0).Fence).To(gomega.Equal(record.Generation + 1))
 }
+
+// TestKeysOfAServerThatNeverReportsAreGivenAway covers a daemon that restarts beside a server that is lost or frozen. Its keys
+// move once the holds that the earlier daemon process granted have expired, and not before.
+func TestKeysOfAServerThatNeverReportsAreGivenAway(t *testing.T) {
+	for _, state := range []ownership.ServerState{ownership.ServerSilent, ownership.ServerClosed} {
+		t.Run(state.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			timing := ownership.DefaultTiming()
+			m := ownership.NewStateMachine(0, "a", "s", ownership.StoreLayout{}, timing, rand.New(rand.NewPCG(1, 1)))
+			m.Registered(1, 1, 1, 10)
+			m.ReadDone(2, 1, stripedRecord(4, 1), 20, true)
+			m.SetPeers(3, []ownership.Peer{{Host: "a", IsPresent: true}, {Host: "b", IsPresent: true, IsEligible: true}})
+			now := ownership.Instant(timing.HoldTime)
+			m.Renewed(now, now)
+			effects := m.SetServerState(now, state)
+			g.Expect(findWrite(effects)).To(gomega.BeNil(), "the holds of the earlier process may last")
+			now = now.Add(timing.HoldTime)
+			effects = append(m.Tick(now), m.Tick(now.Add(time.Second))...)
+			write := findWrite(effects)
+			g.Expect(write).NotTo(gomega.BeNil())
+			record, err := ownership.Decode(write.Txn.Puts[0].Value)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			for span, a := range record.Keys.Runs() {
+				g.Expect(record.Members[a.Owner].Host).To(gomega.Equal(ownership.HostID("b")), "keys %d to %d", span.From, span.To)
+			}
+		})
+	}
+}
