test(soak): departures across restarts, closed listeners, requests sent ahead

Now they can: servers deregister and stop listening before they exit, daemons restart between a deregistration and a late heartbeat, and callers send requests ahead of long answers through a small window.

--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -33,6 +33,8 @@
 	load       *deployment.Load
 	// storeCopy is the copy of the store that the script made last.
 	storeCopy *store.MemoryCopy
+	// deliver delivers the heartbeats that the script holds back.
+	deliver []func()
 }
 
 // sessionKey is the key of the session in the values of a script's environment.
@@ -57,6 +59,10 @@
 			"crash":      forEachHost(func(h *deployment.Host) { h.CrashServer() }),
 			"drain":      forEachHost(func(h *deployment.Host) { h.DrainServer() }),
 			"leave":      forEachHost(func(h *deployment.Host) { h.LeaveServer() }),
+			"deregister": forEachHost(func(h *deployment.Host) { h.DeregisterServer() }),
+			"shutdown":   forEachHost(func(h *deployment.Host) { h.ShutDownServer() }),
+			"hold":       holdHeartbeat,
+			"deliver":    deliverHeartbeats,
 			"limit":      limitServer,
 			"freeze":     forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGSTOP) }),
 			"thaw":       forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGCONT) }),
@@ -138,6 +144,24 @@
 	}
 }
 
+// holdHeartbeat implements "hold HOST...": the hosts' backend servers send a heartbeat that is held up on its way until
+// "deliver".
+func holdHeartbeat(ts *testscript.TestScript, _ bool, args []string) {
+	s := sessionOf(ts)
+	for _, h := range hostsByArgs(ts, args) {
+		s.deliver = append(s.deliver, h.HoldBackHeartbeat())
+	}
+}
+
+// deliverHeartbeats implements "deliver".
+func deliverHeartbeats(ts *testscript.TestScript, _ bool, _ []string) {
+	s := sessionOf(ts)
+	for _, deliver := range s.deliver {
+		deliver()
+	}
+	s.deliver = nil
+}
+
 // limitServer implements "limit RATE HOST...", which makes the hosts' backend servers state a rate limit, and "! limit
 // HOST...", which ends it.
 func limitServer(ts *testscript.TestScript, neg bool, args []string) {
@@ -252,8 +276,9 @@
 	ts.Check(d.PutConfig(&next))
 }
 
-// controlLoad implements "load start" and "load stop [strict]". Load calls all classes through all daemons. "load stop"
-// fails if a class got no answer at all, and with "strict" also if any call was not answered.
+// controlLoad implements "load start" and "load stop [strict|whole]". Load calls all classes through all daemons. "load stop"
+// fails if a class got no answer at all, with "strict" also if any call was not answered, and with "whole" if the connection
+// of a call that ran broke.
 func controlLoad(ts *testscript.TestScript, _ bool, args []string) {
 	s := sessionOf(ts)
 	if args[0] == "start" {
@@ -261,7 +286,11 @@
 		return
 	}
 	tallies := s.load.Stop()
+	broken := s.load.BrokenCalls()
 	s.load = nil
+	if len(args) > 1 && args[1] == "whole" && len(broken) > 0 {
+		ts.Fatalf("%d connections broke, the first one to %s: %v", len(broken), broken[0].Host, broken[0].Cause)
+	}
 	ts.Logf("%s", strings.Join(deployment.FormatTallies(tallies), "\n"))
 	isStrict := len(args) > 1 && args[1] == "strict"
 	for name, t := range tallies {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -42,6 +42,8 @@
 	responseLossRatio = 0.35
 	// drainDuration is how long a draining backend server keeps running before it stops.
 	drainDuration = 2500 * time.Millisecond
+	// heartbeatDelay is by how much a heartbeat is late after the restart of its daemon.
+	heartbeatDelay = 500 * time.Millisecond
 )
 
 // faults returns all faults that a schedule draws from.
@@ -57,6 +59,12 @@
 		{name: "reload", inject: signalDaemon(syscall.SIGHUP), revert: signalDaemon(syscall.SIGHUP)},
 		{name: "server crash", inject: crashServer, revert: startServer},
 		{name: "server drain", inject: drainServer, revert: startServer},
+		{name: "server shutdown", inject: shutDownServer, revert: startServer},
+		{
+			name: "departure before restart", breaksConnections: true, delaysConfig: onHost,
+			inject: deregisterBeforeRestart,
+			revert: startServer,
+		},
 		{
 			name: "cut", breaksConnections: true, delaysConfig: onHost,
 			inject: impairLinks(Impairment{StallToTarget: true, StallFromTarget: true}, peerLinks...),
@@ -154,6 +162,30 @@
 	}
 }
 
+// shutDownServer makes a backend server deregister, and end in an orderly way after drainDuration.
+func shutDownServer(r *runner, h *deployment.Host) {
+	h.DeregisterServer()
+	if sleep(r.ctx, drainDuration) {
+		r.withHostLock(h, h.ShutDownServer)
+	}
+}
+
+// deregisterBeforeRestart makes a backend server deregister, restarts its daemon, and delivers a heartbeat that the server
+// sent before. The server serves on for drainDuration.
+func deregisterBeforeRestart(r *runner, h *deployment.Host) {
+	deliver := h.HoldBackHeartbeat()
+	h.DeregisterServer()
+	killDaemon(r, h)
+	startDaemon(r, h)
+	if !sleep(r.ctx, heartbeatDelay) {
+		return
+	}
+	deliver()
+	if sleep(r.ctx, drainDuration) {
+		crashServer(r, h)
+	}
+}
+
 func startServer(r *runner, h *deployment.Host) {
 	r.withHostLock(h, func() {
 		if !h.HasServer() {
--- a/standin/deployment/load.go
+++ b/standin/deployment/load.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -85,6 +86,10 @@
 			l.lastAnswered[c.Name] = time.Now()
 			l.workers.Go(func() { l.callLoop(ctx, h, c) })
 		}
+		classes := d.plan.Config.Classes
+		if i := slices.IndexFunc(classes, func(c class.Class) bool { return c.Idempotent }); i >= 0 {
+			l.workers.Go(func() { l.pipelineLoop(ctx, h, &classes[i]) })
+		}
 	}
 	return l
 }
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -71,9 +71,10 @@
 	drainAcknowledgedAt time.Time
 	queued              int
 
-	http *http.Server
-	stop context.CancelFunc
-	done chan struct{}
+	listener net.Listener
+	http     *http.Server
+	stop     context.CancelFunc
+	done     chan struct{}
 }
 
 // start makes the server listen and send heartbeats.
@@ -84,6 +85,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
+	s.listener = listener
 	s.done = make(chan struct{})
 	s.slots = make(chan struct{}, concurrency)
 	s.notices = notices{instance: s.instance, checker: s.checker}
@@ -299,7 +301,11 @@
 		s.onDeadly()
 		panic(http.ErrAbortHandler) // closes the connection without a response
 	}
-	body, err := json.Marshal(Echo{Request: id, Host: s.Host, Instance: s.instance.ID})
+	echo := Echo{Request: id, Host: s.Host, Instance: s.instance.ID}
+	if strings.HasSuffix(r.URL.Path, largePath) {
+		echo.Padding = strings.Repeat("x", largeBytes)
+	}
+	body, err := json.Marshal(echo)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -317,6 +323,7 @@
 	Request  string           `json:"request"`
 	Host     ownership.HostID `json:"host"`
 	Instance string           `json:"instance"`
+	Padding  string           `json:"padding,omitempty"`
 }
 
 // reject answers a request that was not executed.
