--- a/standin/deployment/pipeline.go
+++ b/standin/deployment/pipeline.go
@@ -20,6 +20,9 @@
 	pipelineLength = 3
 	// pipelineWindow is the receive buffer of a caller that sends requests ahead, in bytes.
 	pipelineWindow = 4 << 10
+	// pipelineSpacing is the pause between two requests of a series. The daemon reads a request that arrives with the one
+	// before, and leaves a later one unread until the answer to that is written.
+	pipelineSpacing = time.Millisecond
 	// pipelineInterval is the pause between two series of requests of one caller.
 	pipelineInterval = 300 * time.Millisecond
 	// largePath is the end of the path of requests with long answers, and largeBytes the length of what these answers
@@ -73,6 +76,7 @@
 		if err != nil {
 			return err
 		}
+		time.Sleep(pipelineSpacing)
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
