--- a/daemon/beacon.go
+++ b/daemon/beacon.go
@@ -42,10 +42,10 @@
 	isWatching bool
 	isFailing  bool
 	nextAt     ownership.Instant
-	// heardAt is when the configuration was last confirmed, by a beacon or by a read of this daemon, and failingAt when a
+	// confirmedAt is when the configuration was last confirmed, by a beacon or by a read of this daemon, and failingAt when a
 	// watcher last reported that the store does not answer it.
-	heardAt   ownership.Instant
-	failingAt ownership.Instant
+	confirmedAt ownership.Instant
+	failingAt   ownership.Instant
 	// readDelay is the pause after the last failed read of the configuration, and nextReadAt its end.
 	readDelay  time.Duration
 	nextReadAt ownership.Instant
@@ -86,7 +86,7 @@
 	case b.Config > c.replica.Get(platform.ConfigKey).Version:
 		c.pullNewer(from)
 	default:
-		c.beacon.heardAt = now
+		c.beacon.confirmedAt = now
 	}
 }
 
@@ -94,15 +94,18 @@
 // that it is the newest: the watcher may have ended, or be frozen or cut off.
 func (c *control) isConfigUnconfirmed(now ownership.Instant) bool {
 	b := &c.beacon
-	rank := c.watchRank(func(*membership.Host) bool { return true })
+	silence := now.Sub(max(b.confirmedAt, c.gossip.startedAt.Add(startBeaconGrace)))
+	if now < b.nextReadAt || silence <= maxMissedBeacons*minBeaconInterval {
+		return false // without a look at the roster, which may be large
+	}
 	local, _ := c.peersByDomain()
-	silence := maxMissedBeacons * beaconInterval(len(local))
-	isWatcherFailing := b.failingAt != 0 && now.Sub(b.failingAt) < silence
-	if now < b.nextReadAt || isWatcherFailing && rank > failingWatchReaders {
+	limit := maxMissedBeacons * beaconInterval(len(local))
+	rank := c.watchRank(func(*membership.Host) bool { return true })
+	isWatcherFailing := b.failingAt != 0 && now.Sub(b.failingAt) < limit
+	if isWatcherFailing && rank > failingWatchReaders {
 		return false
 	}
-	silence += time.Duration(min(rank, maxStaggeredRank)) * beaconStagger
-	return now.Sub(max(b.heardAt, c.gossip.startedAt.Add(startBeaconGrace))) > silence
+	return silence > limit+time.Duration(min(rank, maxStaggeredRank))*beaconStagger
 }
 
 // confirmConfig reads the configuration in place of the watcher, and confirms it to the failure domain.
@@ -110,14 +113,14 @@
 	err := c.readConfig(ctx)
 	c.post(ctx, func(now ownership.Instant) {
 		b := &c.beacon
-		c.log.Info("configuration not confirmed by a watcher; read from the store", "silence_ms", now.Sub(b.heardAt).Milliseconds(),
+		c.log.Info("configuration not confirmed by a watcher; read from the store", "silence_ms", now.Sub(b.confirmedAt).Milliseconds(),
 			"version", c.replica.Get(platform.ConfigKey).Version, "is_read", err == nil)
 		if err != nil {
 			b.readDelay = min(max(minConfigReadDelay, 2*b.readDelay), maxConfigReadDelay)
 			b.nextReadAt = now.Add(b.readDelay)
 			return
 		}
-		b.heardAt, b.readDelay, b.nextReadAt = now, 0, 0
+		b.confirmedAt, b.readDelay, b.nextReadAt = now, 0, 0
 		c.sendBeacon(now)
 	})
 	return err
--- a/daemon/beacon_test.go
+++ b/daemon/beacon_test.go
@@ -49,7 +49,7 @@
 }
 
 // nonWatchingDaemon returns a daemon that follows the store, in a failure domain in which another host is the watcher. That
-// host was last heard of at the start; other daemons keep sending messages.
+// host was last announced at the start; other daemons keep sending messages.
 func nonWatchingDaemon(t *testing.T, s store.Store) *Daemon {
 	t.Helper()
 	g := gomega.NewWithT(t)
@@ -148,7 +148,7 @@
 	results := make(chan bool, 1)
 	d.control.post(context.Background(), func(now ownership.Instant) {
 		d.control.handleBeacon(now, "127.0.0.1:1", peer.Beacon{Config: 7})
-		results <- d.control.isPulling && d.control.beacon.heardAt == 0
+		results <- d.control.isPulling && d.control.beacon.confirmedAt == 0
 	})
 	g.Expect(<-results).To(gomega.BeTrue(), "it asks the sender, and does not count as confirmed")
 }
--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -64,6 +64,9 @@
 			close(stored)
 			return
 		}
+		if c.replica.Get(entry.Key).Version > entry.Version {
+			return // there is a newer one
+		}
 		if c.clock.Since(start) > departureWriteTime {
 			c.log.Warn("departure of the backend server not stored", "error", err)
 			return
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -99,7 +99,7 @@
 // updatePermit updates the permit of the runner, which states what work the backend server may get.
 func (c *control) updatePermit(now ownership.Instant) {
 	s := &c.server
-	isUsable := s.state == ownership.ServerReady || s.state == ownership.ServerSilent && s.client != nil ||
+	isUsable := s.state == ownership.ServerReady || s.isSilentAfterReport() ||
 		s.state == ownership.ServerDraining && now < s.usableUntil
 	next := permitInputs{
 		version:     c.machine.ServedVersion(),
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -6,26 +6,15 @@
 
 	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/class"
-	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/platform"
 	"github.com/skylarkrelay/skylarkrelay/settings"
 )
 
-const (
-	// silentHeartbeats is the number of heartbeat intervals without a heartbeat after which a server is silent.
-	silentHeartbeats = 2.6
-	// probeInterval is how often the address of a server that may have ended is probed.
-	probeInterval = 250 * time.Millisecond
-	// probeTimeout bounds one probe.
-	probeTimeout = 200 * time.Millisecond
-	// crashWindow is how recently calls of the server must have broken for a refused connection to mean a crash.
-	crashWindow = time.Second
-	// drainMargin is how long before the end of its drain time a draining server gets its last new work, so that no
-	// call is still in transit when it ends.
-	drainMargin = 300 * time.Millisecond
-)
+// drainMargin is how long before the end of its drain time a draining server gets its last new work, so that no call is
+// still in transit when it ends.
+const drainMargin = 300 * time.Millisecond
 
 // serverState is what the control goroutine knows of the local backend server.
 type serverState struct {
@@ -51,6 +40,11 @@
 	return s.state == ownership.ServerClosed || s.state == ownership.ServerEnded
 }
 
+// isSilentAfterReport reports whether the server is silent, but has sent heartbeats to this daemon process before.
+func (s *serverState) isSilentAfterReport() bool {
+	return s.state == ownership.ServerSilent && s.client != nil
+}
+
 // usableDrainTime returns how long a server gets new work after it began to drain.
 func usableDrainTime(drainTime time.Duration) time.Duration { return drainTime - drainMargin }
 
@@ -68,7 +62,7 @@
 	isReady := s.state == ownership.ServerReady
 	a := membership.Announcement{
 		Instance:    s.heartbeat.Instance,
-		IsUsable:    isReady || s.state == ownership.ServerSilent && s.client != nil,
+		IsUsable:    isReady || s.isSilentAfterReport(),
 		IsReady:     isReady,
 		Concurrency: s.heartbeat.Concurrency,
 	}
@@ -291,109 +285,3 @@
 	}
 	c.updateDataPlane(now)
 }
-
-// checkServer detects that the server has become silent or has ended.
-func (c *control) checkServer(now ownership.Instant) {
-	s := &c.server
-	switch s.state {
-	case ownership.ServerEnded:
-		return
-	case ownership.ServerClosed:
-		c.checkClosedServer(now)
-		return
-	default:
-	}
-	age := now.Sub(s.heartbeatAt)
-	// A server of which nothing was heard since the start of the daemon may have ended before. Its keys wait for the holds
-	// that an earlier daemon process granted.
-	isExpected := s.state == ownership.ServerReady || s.state == ownership.ServerUnknown
-	if isExpected && age > time.Duration(silentHeartbeats*float64(s.heartbeatInterval)) {
-		c.setServer(now, ownership.ServerSilent, "no heartbeat")
-	}
-	if s.state == ownership.ServerUnknown {
-		return
-	}
-	mayHaveEnded := s.hasDeregistered || age > s.heartbeatInterval+s.heartbeatInterval/3
-	if mayHaveEnded && !s.isProbing && now >= s.nextProbeAt {
-		c.probeServer(now)
-	}
-}
-
-// probeServerSoon requests a probe of the server after a call found no process at its address. It may be called from
-// any goroutine and does not block. When many calls fail at the same time, one request is enough.
-func (c *control) probeServerSoon() {
-	probe := func(now ownership.Instant) {
-		if !c.server.isProbing && now >= c.server.nextProbeAt && !c.server.isClosed() {
-			c.probeServer(now)
-		}
-	}
-	select {
-	case c.inbox <- probe:
-	default: // the inbox is full; checkServer probes the server later
-	}
-}
-
-// checkClosedServer detects that a server that refuses connections has ended. Nothing depends on its end any more once
-// its holds have expired.
-func (c *control) checkClosedServer(now ownership.Instant) {
-	switch {
-	case c.hasServerCrashed(now):
-		c.setServer(now, ownership.ServerEnded, "calls broken")
-	case c.machine.HaveHoldsExpired(now):
-		c.setServer(now, ownership.ServerEnded, "holds expired")
-	}
-}
-
-// brokenCall is a call whose connection the server closed before it answered.
-type brokenCall struct {
-	instance ownership.Instance
-	at       ownership.Instant
-}
-
-// logRefused logs what the end of a server that refuses connections is judged by.
-func (c *control) logRefused(now ownership.Instant) {
-	s := &c.server
-	active, brokenAgeMS := 0, int64(-1)
-	if s.client != nil {
-		active = s.client.Active()
-	}
-	if broken := c.brokenCall.Load(); broken != nil && broken.instance == s.heartbeat.Instance {
-		brokenAgeMS = now.Sub(broken.at).Milliseconds()
-	}
-	c.log.Info("backend server refuses connections", "instance", s.heartbeat.Instance.String(),
-		"is_leaving", s.usableUntil != 0, "active_calls", active, "broken_call_age_ms", brokenAgeMS,
-		"heartbeat_age_ms", now.Sub(s.heartbeatAt).Milliseconds())
-}
-
-// hasServerCrashed reports whether the process of a server that refuses connections has ended. A server that shuts down
-// closes its listener first and then finishes its calls, or closes their connections before it exits, so a refused
-// connection shows no end by itself. Calls that broke although the server had announced no shutdown do.
-func (c *control) hasServerCrashed(now ownership.Instant) bool {
-	s := &c.server
-	broken := c.brokenCall.Load()
-	isLeaving := s.usableUntil != 0
-	if broken == nil || isLeaving || broken.instance != s.heartbeat.Instance || broken.at <= s.heartbeatAt {
-		return false
-	}
-	return now.Sub(broken.at) <= crashWindow && s.client.Active() == 0
-}
-
-// probeServer tries to connect to the server, and closes it to new work if the connection is refused.
-func (c *control) probeServer(now ownership.Instant) {
-	s := &c.server
-	s.isProbing = true
-	s.nextProbeAt = now.Add(probeInterval)
-	instance := s.heartbeat.Instance
-	c.async(func(ctx context.Context) func(ownership.Instant) {
-		isRefused := link.IsRefused(ctx, s.address, probeTimeout)
-		return func(now ownership.Instant) {
-			s.isProbing = false
-			if isRefused && s.heartbeat.Instance == instance {
-				c.logRefused(now)
-				c.setServer(now, ownership.ServerClosed, "connection refused")
-				c.checkClosedServer(now)
-				c.updateDataPlane(now)
-			}
-		}
-	})
-}
