fix(quarantine): one host tries a held request first

After crashes of one round a request may run again everywhere at the same moment, and one that is the cause would crash several servers at once. Each host holds it back for up to 6 s more; the first trial decides for all.

Test: TestTrialsDoNotBeginAtOnce.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -35,6 +35,8 @@
 	// a common cause, such as a loss of power, beside which a popular request was running on all servers. Only another
 	// round, after probationTime, shows that the request is the cause.
 	roundGap = 10 * time.Second
+	// MaxTrialDelay bounds the delay of SetTrialDelay.
+	MaxTrialDelay = 6 * time.Second
 	// maxClockSkew is how far the clock of a reporting host may be ahead of the local one.
 	maxClockSkew = time.Minute
 	// maxRequests bounds the number of requests with reports.
@@ -91,6 +93,8 @@
 	clock clockwork.Clock
 	// size is the number of requests with reports.
 	size atomic.Int64
+	// trialDelay is how much longer a request is held back here after crashes of one round.
+	trialDelay time.Duration
 
 	mu       sync.Mutex
 	requests map[call.Fingerprint]*suspect
@@ -107,6 +111,11 @@
 	return &List{clock: clock, requests: map[call.Fingerprint]*suspect{}}
 }
 
+// SetTrialDelay sets how much longer this host holds a request back that was running in several crashes of one round. Hosts
+// with different delays do not try the request at once, so that the first trial decides for all. It must be called before the
+// first report.
+func (l *List) SetTrialDelay(delay time.Duration) { l.trialDelay = delay }
+
 // IsEmpty reports whether there are no reports. It is cheap, and spares the fingerprint of a request.
 func (l *List) IsEmpty() bool { return l.size.Load() == 0 }
 
@@ -236,6 +245,8 @@
 	switch {
 	case crashes >= holdCrashes && hasRecurred:
 		held = reportTTL
+	case crashes >= holdCrashes:
+		held = probationTime + l.trialDelay
 	case crashes >= probationCrashes:
 		held = probationTime
 	}
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -130,6 +130,27 @@
 	g.Expect(len(list.Reports())).To(gomega.Equal(9))
 }
 
+// TestTrialsDoNotBeginAtOnce guards against a request that crashes several servers at the same moment again, when it may run
+// once more after the crashes of one round.
+func TestTrialsDoNotBeginAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	first, second := quarantine.NewList(clock), quarantine.NewList(clock)
+	second.SetTrialDelay(3 * time.Second)
+	request := fingerprintOf("menu")
+	for _, host := range []string{"h1", "h2", "h3"} {
+		report := quarantine.Report{Request: request, Crash: crashOf(host), At: clock.Now()}
+		first.Add(report)
+		second.Add(report)
+	}
+	clock.Advance(31 * time.Second)
+	g.Expect(first.Verdict(request).HeldUntil).To(gomega.BeZero())
+	g.Expect(second.Verdict(request).HeldUntil).NotTo(gomega.BeZero())
+	trial := quarantine.Report{Request: request, Crash: crashOf("h4"), At: clock.Now()}
+	second.Add(trial)
+	g.Expect(second.Verdict(request).Held(clock.Now())).To(gomega.Equal(10 * time.Minute))
+}
+
 // TestListsWithTheSameReportsAgree checks that the order of reports does not matter, as they arrive from several hosts.
 func TestListsWithTheSameReportsAgree(t *testing.T) {
 	g := gomega.NewWithT(t)
