--- a/daemon/server_end_test.go
+++ b/daemon/server_end_test.go
@@ -48,6 +48,19 @@
 	return s
 }
 
+// outlastTest makes the holds of a daemon's server last longer than any test, so that a slow machine does not end them.
+func outlastTest(d *Daemon) {
+	c := d.control
+	done := make(chan struct{})
+	c.post(context.Background(), func(now ownership.Instant) {
+		timing := d.ownershipTiming()
+		timing.HoldTime = time.Hour
+		c.machine = ownership.NewStateMachine(now, c.self, c.service, c.layout, timing, c.random)
+		close(done)
+	})
+	<-done
+}
+
 // TestRefusedConnectionIsNoEndByItself guards against two owners of a key: a backend server that shuts down in an orderly
 // way refuses connections while it still works within its holds. Only a crash, which breaks its calls, ends them early.
 func TestRefusedConnectionIsNoEndByItself(t *testing.T) {
@@ -76,6 +89,7 @@
 			s := testSettings()
 			s.Backend.Address = server.listener.Addr().String()
 			d := newDaemonWith(t, s, store.NewMemory(clockwork.NewRealClock()))
+			outlastTest(d)
 			instance := ownership.Instance{ID: "i", Born: 5}
 			_, err := heartbeatHandler{d.control}.Heartbeat(context.Background(), ownership.Heartbeat{
 				Instance: instance, Address: s.Backend.Address, Service: "s", Concurrency: 2, Sequence: 1,
