refactor(daemon): one question for what is due at the store

Every daemon that does not watch asked the control goroutine three questions and posted a change of state each 0.1 s, which wakes both goroutines four times. It asks one question now. The order of the tasks is unchanged; a daemon that no longer watches drops that state with the answer, also when it reads.

--- a/daemon/era.go
+++ b/daemon/era.go
@@ -29,9 +29,6 @@
 	c.runRegistrarEffects(now, c.registrar.EraObserved(now, era))
 }
 
-// isRestoreUnread reports whether the store was restored and has not been read as a whole since.
-func (c *control) isRestoreUnread(ownership.Instant) bool { return c.isReadDue }
-
 // readAll reads the configuration and all values of this system, and returns the revision from which to watch them.
 func (c *control) readAll(ctx context.Context) (store.Revision, error) {
 	revision, err := c.readValues(ctx, c.layout.Prefix)
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -42,20 +42,23 @@
 	delay := minStoreRetryDelay
 	isStarted := false
 	for ctx.Err() == nil {
+		task := startTask
+		if isStarted {
+			task = ask(ctx, c, c.dueStoreTask)
+		}
 		var err error
-		switch {
-		case !isStarted:
+		switch task {
+		case startTask:
 			err = c.readHosts(ctx)
 			isStarted = err == nil
-		case c.shouldWatch(ctx):
+		case watchTask:
 			err = c.readAndWatch(ctx)
 			c.setWatching(ctx, err != nil, err != nil)
-		case c.ask(ctx, c.isRestoreUnread):
+		case readTask:
 			_, err = c.readAll(ctx)
-		case c.ask(ctx, c.isConfigUnconfirmed):
+		case confirmTask:
 			err = c.confirmConfig(ctx)
 		default:
-			c.setWatching(ctx, false, false)
 			c.sleep(ctx, watcherCheckInterval)
 		}
 		if err == nil {
@@ -70,6 +73,36 @@
 	return nil
 }
 
+//go:generate go tool stringer -type=storeTask -linecomment
+
+// storeTask is what the goroutine that follows the store does next.
+type storeTask int
+
+const (
+	noTask      storeTask = iota // none
+	startTask                    // start
+	watchTask                    // watch
+	readTask                     // read
+	confirmTask                  // confirm
+)
+
+// dueStoreTask returns what this daemon has to do at the store. It is one question, because a daemon that does not watch asks
+// it many times a second.
+func (c *control) dueStoreTask(now ownership.Instant) storeTask {
+	if c.isWatcher(now) {
+		return watchTask
+	}
+	c.beacon.isWatching, c.beacon.isFailing = false, false
+	switch {
+	case c.isReadDue: // the store was restored and has not been read as a whole since
+		return readTask
+	case c.isConfigUnconfirmed(now):
+		return confirmTask
+	default:
+		return noTask
+	}
+}
+
 // readHosts reads the hosts that are registered, and pulls the configuration and the records from one of them.
 func (c *control) readHosts(ctx context.Context) error {
 	if _, err := c.readValues(ctx, c.layout.Presence("")); err != nil {
@@ -210,17 +243,18 @@
 
 // shouldWatch reports whether this daemon watches the store: it is one of the first of its failure domain in the order
 // of their hashed names, or receives nothing from other daemons.
-func (c *control) shouldWatch(ctx context.Context) bool { return c.ask(ctx, c.isWatcher) }
+func (c *control) shouldWatch(ctx context.Context) bool { return ask(ctx, c, c.isWatcher) }
 
-// ask returns the answer of the control goroutine to a question, or false when the context ends.
-func (c *control) ask(ctx context.Context, question func(now ownership.Instant) bool) bool {
-	result := make(chan bool, 1)
+// ask returns the answer of the control goroutine to a question, or the zero value when the context ends.
+func ask[T any](ctx context.Context, c *control, question func(now ownership.Instant) T) T {
+	result := make(chan T, 1)
 	c.post(ctx, func(now ownership.Instant) { result <- question(now) })
 	select {
 	case answer := <-result:
 		return answer
 	case <-ctx.Done():
-		return false
+		var none T
+		return none
 	}
 }
 
