refactor(daemon): one goroutine for a lingering connection

The end of the process shortens the wait by context.AfterFunc, as package link ends an exchange, in place of a second goroutine for each closed connection.

--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -20,11 +21,16 @@
 // lingerer owns the connections that have been closed but still wait for the other side.
 type lingerer struct {
 	conns sync.WaitGroup
-	// exiting is closed when the process is about to end.
-	exiting chan struct{}
+	// running ends when the process is about to end.
+	running context.Context
+	exit    context.CancelFunc
 }
 
-func newLingerer() *lingerer { return &lingerer{exiting: make(chan struct{})} }
+func newLingerer() *lingerer {
+	l := &lingerer{}
+	l.running, l.exit = context.WithCancel(context.Background())
+	return l
+}
 
 // listen returns a listener whose connections linger when they are closed.
 func (l *lingerer) listen(listener net.Listener) net.Listener {
@@ -34,7 +40,7 @@
 // finish waits until all closed connections have ended, for exitLingerTime at most. It is called once, after the last
 // connection was closed.
 func (l *lingerer) finish() {
-	close(l.exiting)
+	l.exit()
 	l.conns.Wait()
 }
 
@@ -121,16 +127,10 @@
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime)) // as above
-	ended := make(chan struct{})
-	go func() {
-		_, _ = io.Copy(io.Discard, c.TCPConn) // any end will do
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-c.lingerer.exiting:
+	stop := context.AfterFunc(c.lingerer.running, func() {
 		_ = c.TCPConn.SetReadDeadline(time.Now().Add(exitLingerTime)) // as above
-		<-ended
-	}
-	_ = c.TCPConn.Close() // the connection is of no more use
+	})
+	defer stop()
+	_, _ = io.Copy(io.Discard, c.TCPConn) // any end will do
+	_ = c.TCPConn.Close()                 // the connection is of no more use
 }
