--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -91,7 +91,7 @@
 	if e.Key == platform.ConfigKey {
 		return c.applyConfigEntry(now, e)
 	}
-	if strings.HasPrefix(e.Key, c.layout.DeparturePrefix()) {
+	if c.layout.IsDeparture(e.Key) {
 		return c.applyDepartureEntry(now, e)
 	}
 	revision := store.Revision(e.Version)
--- a/daemon/server_end.go
+++ b/daemon/server_end.go
@@ -77,6 +77,14 @@
 	at       ownership.Instant
 }
 
+// newestBrokenCall returns the newest broken call of the current instance of the server, or nil.
+func (c *control) newestBrokenCall() *brokenCall {
+	if broken := c.brokenCall.Load(); broken != nil && broken.instance == c.server.heartbeat.Instance {
+		return broken
+	}
+	return nil
+}
+
 // logRefused logs what the end of a server that refuses connections is judged by.
 func (c *control) logRefused(now ownership.Instant) {
 	s := &c.server
@@ -84,7 +92,7 @@
 	if s.client != nil {
 		active = s.client.Active()
 	}
-	if broken := c.brokenCall.Load(); broken != nil && broken.instance == s.heartbeat.Instance {
+	if broken := c.newestBrokenCall(); broken != nil {
 		brokenAgeMS = now.Sub(broken.at).Milliseconds()
 	}
 	c.log.Info("backend server refuses connections", "instance", s.heartbeat.Instance.String(),
@@ -97,9 +105,9 @@
 // connection shows no end by itself. Calls that broke although the server had announced no shutdown do.
 func (c *control) hasServerCrashed(now ownership.Instant) bool {
 	s := &c.server
-	broken := c.brokenCall.Load()
+	broken := c.newestBrokenCall()
 	isLeaving := s.usableUntil != 0
-	if broken == nil || isLeaving || broken.instance != s.heartbeat.Instance || broken.at <= s.heartbeatAt {
+	if broken == nil || isLeaving || broken.at <= s.heartbeatAt {
 		return false
 	}
 	return now.Sub(broken.at) <= crashWindow && s.client.Active() == 0
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/membership"
@@ -179,7 +178,7 @@
 // logOutdated logs a value of the store that will not be applied, because a newer one is known.
 func (c *control) logOutdated(item store.Item) {
 	known := store.Revision(c.replica.Get(item.Key).Version)
-	hasOwnVersion := item.Key == platform.ConfigKey || strings.HasPrefix(item.Key, c.layout.DeparturePrefix())
+	hasOwnVersion := item.Key == platform.ConfigKey || c.layout.IsDeparture(item.Key)
 	if !hasOwnVersion && item.Revision < known {
 		c.observer.staleValue(item.Key, item.Revision, known)
 	}
@@ -192,7 +191,7 @@
 		found[item.Key] = true
 	}
 	for _, e := range c.replica.List(prefix) {
-		if strings.HasPrefix(e.Key, c.layout.DeparturePrefix()) {
+		if c.layout.IsDeparture(e.Key) {
 			continue // a departure may be known before the store has it, and is never deleted
 		}
 		isOlder := e.Version < membership.Version(read.Revision)
--- a/ownership/grants.go
+++ b/ownership/grants.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 )
 
@@ -217,7 +216,7 @@
 
 // HaveHoldsExpired reports whether it is certain that the backend server holds no keys.
 func (m *StateMachine) HaveHoldsExpired(now Instant) bool {
-	return m.isFree(now, keyspace.Span{To: class.KeyCount - 1})
+	return m.isFree(now, keyspace.All())
 }
 
 // isFreeOfEarlierInstances reports whether the keys of the span are free for a new instance of the backend server while
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -201,8 +201,8 @@
 	return crashes, last
 }
 
-// pendingRounds returns the number of rounds of the crashes since the last answer.
-func (s *suspect) pendingRounds() int {
+// hasRecurred reports whether the crashes since the last answer belong to more than one round.
+func (s *suspect) hasRecurred() bool {
 	var times []time.Time
 	for _, at := range s.crashes {
 		if at.After(s.answeredAt) {
@@ -210,13 +210,12 @@
 		}
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	rounds := 0
-	for i, at := range times {
-		if i == 0 || at.Sub(times[i-1]) >= roundGap {
-			rounds++
+	for i := 1; i < len(times); i++ {
+		if times[i].Sub(times[i-1]) >= roundGap {
+			return true
 		}
 	}
-	return rounds
+	return false
 }
 
 // Check returns what is known of a call. While there are no reports, it is cheap: it does not compute the fingerprint.
@@ -239,11 +238,10 @@
 	if crashes == 0 {
 		return Verdict{}
 	}
-	hasRecurred := s.pendingRounds() > 1
 	verdict := Verdict{IsSuspected: true, Crashes: crashes}
 	var held time.Duration
 	switch {
-	case crashes >= holdCrashes && hasRecurred:
+	case crashes >= holdCrashes && s.hasRecurred():
 		held = reportTTL
 	case crashes >= holdCrashes:
 		held = probationTime + l.trialDelay
--- a/standin/deployment/departure.go
+++ b/standin/deployment/departure.go
@@ -1,7 +1,6 @@
 package deployment
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -13,29 +12,19 @@
 func (s *Server) deregister() bool {
 	s.stop()
 	path, body, err := platform.EncodeDeregistration(s.instance)
-	if err != nil || !s.post(path, body) {
+	if err != nil || !s.postOnce(path, body) {
 		return false
 	}
 	s.recordDrainAcknowledgment()
 	return true
 }
 
-// post sends a call to the host's daemon and reports whether it succeeded.
-func (s *Server) post(path string, body []byte) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.heartbeatAddress+path, bytes.NewReader(body))
-	if err != nil {
-		return false
-	}
-	client := &http.Client{}
+// postOnce sends a call to the host's daemon on a connection of its own and reports whether it succeeded.
+func (s *Server) postOnce(path string, body []byte) bool {
+	client := &http.Client{Timeout: heartbeatTimeout}
 	defer client.CloseIdleConnections()
-	response, err := client.Do(request)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close() // only the status matters
-	return response.StatusCode == http.StatusOK
+	_, ok := s.post(context.Background(), client, path, body)
+	return ok
 }
 
 // DeregisterServer makes the host's backend server, if one runs, announce its end without a drain. It goes on to serve.
@@ -70,7 +59,7 @@
 	path, body, err := platform.EncodeHeartbeat(server.newHeartbeat())
 	return func() {
 		if err == nil {
-			server.post(path, body) // the daemon may reject it
+			server.postOnce(path, body) // the daemon may reject it
 		}
 	}
 }
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -139,20 +139,10 @@
 	if err != nil {
 		return false
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.heartbeatAddress+path,
-		bytes.NewReader(body))
-	if err != nil {
-		return false
-	}
-	response, err := client.Do(request)
-	if err != nil {
+	data, ok := s.post(ctx, client, path, body)
+	if !ok {
 		return false // the next heartbeat repeats the same state
 	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	if err != nil || response.StatusCode != http.StatusOK {
-		return false
-	}
 	if isDraining {
 		s.recordDrainAcknowledgment()
 	}
@@ -163,6 +153,22 @@
 	return s.applyResponse(decoded, sent)
 }
 
+// post sends a call to the host's daemon. It returns the body of the response, and whether the call succeeded.
+func (s *Server) post(ctx context.Context, client *http.Client, path string, body []byte) ([]byte, bool) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.heartbeatAddress+path,
+		bytes.NewReader(body))
+	if err != nil {
+		return nil, false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, false
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return data, err == nil && response.StatusCode == http.StatusOK
+}
+
 func (s *Server) recordDrainAcknowledgment() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
