feat(observe): when the callers of unsent calls left, and how late forwarded calls arrive

Logs and metrics could not tell apart whether a call that reached a server after its caller had left was read late by the entry, was late on the way between daemons, or was sent though its context had ended.

- abandoned.unread and was_unread of 'request finished': the connection had ended when the request was read.
Calls state when they were sent.
- abandoned.queued and 'caller left before its call was sent', with the time in the queue and whether the context had ended.

No call is handled differently.

--- a/backend/runner.go
+++ b/backend/runner.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/quarantine"
 )
@@ -71,6 +72,8 @@
 	onUnreachable func()
 	// onBroken is called when the server closed the connection of a running call. It must not block.
 	onBroken func(ownership.Instance)
+	// onAbandoned is called when a call is due whose caller has left. It must not block.
+	onAbandoned func(AbandonedCall)
 	// isAssigned is nil if calls never wait for their key.
 	isAssigned     AssignmentCheck
 	noticeObserver NoticeObserver
@@ -108,6 +111,19 @@
 	r.onBroken = onBroken
 }
 
+// AbandonedCall describes a call whose caller had left when the call was due to be sent to the server, for logs and metrics.
+type AbandonedCall struct {
+	Call call.Call
+	// Waited is how long the call was queued on this host.
+	Waited time.Duration
+	// IsContextEnded reports whether the context of the call had ended as well.
+	IsContextEnded bool
+}
+
+// ObserveAbandoned sets the observer of callers that left before their call was sent. It must be called before the first
+// call, and the observer must not block.
+func (r *Runner) ObserveAbandoned(onAbandoned func(AbandonedCall)) { r.onAbandoned = onAbandoned }
+
 // NewRunner returns a runner without a permit, which rejects all calls. It calls onUnreachable, which must not block,
 // when a call could not connect to the server's address.
 func NewRunner(controller *admission.Controller, onUnreachable func(), clock clockwork.Clock) *Runner {
@@ -116,6 +132,7 @@
 		controller:    controller,
 		onUnreachable: onUnreachable,
 		onBroken:      func(ownership.Instance) {},
+		onAbandoned:   func(AbandonedCall) {},
 		demand:        map[class.Key]time.Duration{},
 		stated:        newNotices(),
 		quarantine:    quarantine.NewList(clock),
@@ -247,6 +264,9 @@
 			continue
 		}
 		if err == nil {
+			if ctx.Err() != nil || link.HasCallerLeft(ctx) {
+				r.onAbandoned(AbandonedCall{Call: c, Waited: r.clock.Since(now), IsContextEnded: ctx.Err() != nil})
+			}
 			return r.dispatch(ctx, c, ticket)
 		}
 		result, isFinal := rejectionResult(ctx, err)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -30,6 +30,8 @@
 	Result        call.Result
 	Duration      time.Duration
 	ConfigVersion class.Version
+	// WasUnread reports whether the caller had left before its request was read.
+	WasUnread bool
 }
 
 // Handler is the HTTP handler for requests of callers.
@@ -85,6 +87,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	start := h.clock.Now()
+	wasUnread := link.HasCallerLeft(r.Context())
 	config := h.config.Load()
 	c, result, ok := h.parseCall(w, r, config, start)
 	if ok {
@@ -99,7 +102,7 @@
 	if err := call.Write(w, c.ID, h.headerNames.RequestID, result); err != nil {
 		result.Reason = call.CallerGone
 	}
-	finished := FinishedCall{Call: c, Result: result, Duration: h.clock.Since(start)}
+	finished := FinishedCall{Call: c, Result: result, Duration: h.clock.Since(start), WasUnread: wasUnread}
 	if config != nil {
 		finished.ConfigVersion = config.Version
 	}
--- a/daemon/clock.go
+++ b/daemon/clock.go
@@ -9,7 +9,7 @@
 )
 
 // BootClock returns the time since boot, including the time during which the machine was suspended.
-type BootClock interface{ Now() ownership.Instant }
+type BootClock = ownership.Clock
 
 // systemBootClock is the operating system's boot clock.
 type systemBootClock struct{}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -98,8 +98,9 @@
 	d.runner.ObserveBrokenCalls(func(instance ownership.Instance) {
 		d.control.brokenCall.Store(&brokenCall{instance: instance, at: o.BootClock.Now()})
 	})
+	d.runner.ObserveAbandoned(d.observer.callAbandoned)
 	d.runner.Quarantine(d.quarantine, s.Host, d.crashReported)
-	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock)
+	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock, o.BootClock)
 	d.hops.LimitMemory(d.bodyMemory)
 	table := caller.NewTable()
 	d.runner.WaitForKeys(func(key class.Key) (bool, <-chan struct{}) {
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -10,6 +10,7 @@
 	"github.com/oklog/run"
 
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/peer"
 	"github.com/skylarkrelay/skylarkrelay/platform"
 )
@@ -58,7 +59,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          d.observer.httpErrorLog(name),
-		ConnContext:       peer.WithConn,
+		ConnContext:       link.WithConn,
 	}
 	group.Add(func() error { return ignoreServerClosed(server.Serve(d.lingerer.listen(listener))) }, func(error) {
 		_ = server.Close() // running requests end with the process
@@ -75,9 +76,17 @@
 }
 
 func (d *Daemon) addHop(_ context.Context, group *run.Group) error {
-	report := func(err error) { d.observer.inputRejected("hop", err) }
-	handler := peer.HopHandler(d.runner, d.settings.Host, d.settings.Service, d.bodyMemory, d.clock, report)
-	return d.serve(group, "hop", d.settings.ForwardAddress(), handler)
+	receiver := peer.HopReceiver{
+		Runner:    d.runner,
+		Host:      d.settings.Host,
+		Service:   d.settings.Service,
+		Memory:    d.bodyMemory,
+		Clock:     d.clock,
+		BootClock: d.options.BootClock,
+		OnInvalid: func(err error) { d.observer.inputRejected("hop", err) },
+		OnArrival: d.observer.callArrived,
+	}
+	return d.serve(group, "hop", d.settings.ForwardAddress(), receiver.Handler())
 }
 
 // addHopConnections adds a loop that opens connections to new hosts before calls need them, and closes expired ones.
@@ -188,6 +197,7 @@
 			ReadHeaderTimeout: l.limits.HeaderTimeout,
 			IdleTimeout:       l.limits.IdleTimeout,
 			ErrorLog:          l.errorLog,
+			ConnContext:       link.WithConn,
 		}
 		go func() { _ = g.server.Serve(g) }() // it returns after close, and logs errors to ErrorLog
 		l.current = g
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/peer"
 	"github.com/skylarkrelay/skylarkrelay/quarantine"
 	"github.com/skylarkrelay/skylarkrelay/store"
 	"github.com/skylarkrelay/skylarkrelay/timeline"
@@ -114,6 +115,34 @@
 		"took_ms", a.Duration.Milliseconds(), "key", a.Call.Key, "repeat", a.Call.IsRetry)
 }
 
+// lateArrival is the delay of a forwarded call, in addition to the usual one, from which on it is logged.
+const lateArrival = 100 * time.Millisecond
+
+// callArrived records a call that another daemon forwarded.
+func (o *observer) callArrived(a peer.Arrival) {
+	o.histogram("hop.delay_us").Update(a.Delay.Microseconds())
+	if a.HasLeft {
+		o.counter(abandonedPrefix + "before_arrival").inc()
+	}
+	if (a.Delay < lateArrival && !a.HasLeft) || !o.allowLine() {
+		return
+	}
+	o.log.Info("forwarded call arrived late", "request", a.Call.ID, "class", a.Call.Class.Name, "from", a.From,
+		"delay_ms", a.Delay.Milliseconds(), "left_ms", a.Call.Deadline.Sub(o.clock.Now()).Milliseconds(),
+		"has_left", a.HasLeft)
+}
+
+// callAbandoned records a call whose caller had left when it was due to be sent to the backend server.
+func (o *observer) callAbandoned(a backend.AbandonedCall) {
+	o.counter(abandonedPrefix + "queued").inc()
+	if !o.allowLine() {
+		return
+	}
+	o.log.Info("caller left before its call was sent", "request", a.Call.ID, "class", a.Call.Class.Name,
+		"queued_ms", a.Waited.Milliseconds(), "left_ms", a.Call.Deadline.Sub(o.clock.Now()).Milliseconds(),
+		"context_ended", a.IsContextEnded)
+}
+
 // callFinished records how a call ended. Calls that were not answered are logged one by one, answered calls only at
 // debug level.
 func (o *observer) callFinished(f caller.FinishedCall) {
@@ -123,6 +152,9 @@
 	}
 	outcome := f.Result.Outcome.String()
 	o.counter(callsPrefix + outcome).inc()
+	if f.WasUnread {
+		o.counter(abandonedPrefix + "unread").inc()
+	}
 	if f.Result.Outcome == class.Answered {
 		o.histogram("latency_us." + name).Update(f.Duration.Microseconds())
 		if !o.log.IsDebug() {
@@ -134,7 +166,8 @@
 	}
 	o.log.Info("request finished", "request", f.Call.ID, "class", name, "service", f.Call.Service, "outcome", outcome,
 		"reason", f.Result.Reason.String(), "status", call.HTTPStatus(f.Result), "took_ms", f.Duration.Milliseconds(),
-		"host", f.Result.Host, "retry_after_ms", f.Result.RetryAfter.Milliseconds(), "config", f.ConfigVersion)
+		"host", f.Result.Host, "retry_after_ms", f.Result.RetryAfter.Milliseconds(), "config", f.ConfigVersion,
+		"was_unread", f.WasUnread)
 	o.events.Add(timeline.Event{
 		Kind:    timeline.Call,
 		Name:    outcome,
--- a/daemon/usage.go
+++ b/daemon/usage.go
@@ -18,6 +18,8 @@
 const (
 	callsPrefix    = "calls."
 	attemptsPrefix = "attempts."
+	// abandonedPrefix precedes the names of the counters of callers that left before their call was sent.
+	abandonedPrefix = "abandoned."
 )
 
 // usage is what the daemon has used and done since its start.
--- a/link/closed.go
+++ b/link/closed.go
@@ -10,8 +10,23 @@
 	"golang.org/x/sys/unix"
 )
 
-// IsClosedByPeer reports whether the other side has closed a connection, without reading from it. The detection by
-// net/http runs on a separate goroutine, which may notice the end only after a handler has started its work.
+// connKey is the context key of the connection that a request arrived on.
+type connKey struct{}
+
+// WithConn is the http.Server.ConnContext of servers whose handlers use HasCallerLeft.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// HasCallerLeft reports whether the caller of a request has closed the connection that the request arrived on. The
+// context of a request ends for the same reason, but later: net/http detects the end on a goroutine of its own, and only
+// if nothing else was sent before it.
+func HasCallerLeft(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && IsClosedByPeer(conn)
+}
+
+// IsClosedByPeer reports whether the other side has closed a connection, without reading from it.
 func IsClosedByPeer(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
--- a/ownership/types.go
+++ b/ownership/types.go
@@ -35,6 +35,9 @@
 // suspended.
 type Instant time.Duration
 
+// Clock returns the current time since boot.
+type Clock interface{ Now() Instant }
+
 // Add returns the instant plus a duration.
 func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
 
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -41,6 +41,8 @@
 	targetHeader = "Skylark-Hop-To"
 	// suspectHeader marks a call during which a backend server ended.
 	suspectHeader = "Skylark-Hop-Suspected"
+	// sentHeader is when a call was sent, by the sender's boot clock. See delayMeter.
+	sentHeader = "Skylark-Hop-Sent"
 )
 
 const (
@@ -93,7 +95,11 @@
 
 // HopClient forwards calls to other daemons, which run them on their hosts' backend servers.
 type HopClient struct {
-	clock  clockwork.Clock
+	clock clockwork.Clock
+	// process and bootClock give the time in sentHeader.
+	process   processID
+	bootClock ownership.Clock
+
 	onDial func()
 
 	// connectQueue holds the new addresses to which MaintainConnections has not connected yet.
@@ -105,10 +111,13 @@
 	pools map[string]*link.Pool
 }
 
-// NewHopClient returns a client without connections. It calls onDial for each new connection.
-func NewHopClient(onDial func(), clock clockwork.Clock) *HopClient {
+// NewHopClient returns a client without connections. It calls onDial for each new connection. The boot clock gives the
+// times at which calls are sent, from which other daemons derive how long they were on their way.
+func NewHopClient(onDial func(), clock clockwork.Clock, bootClock ownership.Clock) *HopClient {
 	return &HopClient{
 		clock:        clock,
+		process:      processID(rand.Uint64()),
+		bootClock:    bootClock,
 		onDial:       onDial,
 		connectQueue: make(chan string, connectQueueCapacity),
 		pools:        map[string]*link.Pool{},
@@ -212,6 +221,7 @@
 	header.Set(serviceHeader, string(c.Service))
 	header.Set(originHeader, string(c.Origin))
 	header.Set(targetHeader, string(host))
+	header.Set(sentHeader, sendTime{process: h.process, at: h.bootClock.Now()}.String())
 	header.Set(timeLeftHeader, strconv.FormatInt(remaining.Microseconds(), 10))
 	header.Set(classSpecHeader,
 		fmt.Sprintf(specFormat, c.Class.Latency.Microseconds(), c.Class.Rank, c.Class.Idempotent))
@@ -259,61 +269,78 @@
 	return result
 }
 
-// connKey is the context key of the connection that a forwarded call arrived on.
-type connKey struct{}
-
-// WithConn is the http.Server.ConnContext for a server of HopHandler. It lets the handler detect that the daemon that
-// forwarded the call has closed the connection.
-func WithConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+// Arrival describes a forwarded call that has arrived, for logs and metrics.
+type Arrival struct {
+	Call call.Call
+	// From is the address of the daemon that sent the call.
+	From string
+	// Delay is how much longer than usual the call was on its way. See delayMeter.
+	Delay time.Duration
+	// HasLeft reports whether the daemon that sent the call has closed the connection, as it does when its caller
+	// disconnects.
+	HasLeft bool
 }
 
-// isClientGone reports whether the daemon that forwarded the call has closed the connection, as it does when its caller
-// disconnects.
-func isClientGone(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && link.IsClosedByPeer(conn)
+// HopReceiver runs the calls that other daemons forward to this host.
+type HopReceiver struct {
+	Runner  CallRunner
+	Host    ownership.HostID
+	Service class.Service
+	// Memory bounds the memory of incomplete requests.
+	Memory    *link.Memory
+	Clock     clockwork.Clock
+	BootClock ownership.Clock
+	// OnInvalid gets the errors of invalid requests, whose calls do not run.
+	OnInvalid func(error)
+	// OnArrival is called for each valid call, before it runs.
+	OnArrival func(Arrival)
 }
 
-// HopHandler returns the handler for forwarded calls. It passes the errors of invalid requests to report, and responds
-// that their calls did not run. The memory bounds that of incomplete requests.
-func HopHandler(
-	runner CallRunner, host ownership.HostID, service class.Service, memory *link.Memory, clock clockwork.Clock,
-	report func(error),
-) http.Handler {
+// Handler returns the handler for forwarded calls. Its server needs link.WithConn.
+func (h HopReceiver) Handler() http.Handler {
+	delays := newDelayMeter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, err := parseCall(w, r, memory, clock)
-		isMisrouted := r.Header.Get(targetHeader) != string(host) || c.Service != service
+		c, delay, err := h.parseCall(w, r, delays)
+		isMisrouted := r.Header.Get(targetHeader) != string(h.Host) || c.Service != h.Service
 		var result call.Result
 		var exceeded *link.MemoryError
 		switch {
 		case errors.As(err, &exceeded):
-			report(err)
+			h.OnInvalid(err)
 			result = call.NotRun(call.Overload)
 		case err != nil:
-			report(err)
+			h.OnInvalid(err)
 			result = call.NotRun(call.BadRequest)
 		case isMisrouted:
 			result = call.NotRun(call.NotOwner)
-		case isClientGone(r.Context()):
-			return
 		default:
-			result = runner.Run(r.Context(), c)
+			hasLeft := link.HasCallerLeft(r.Context())
+			h.OnArrival(Arrival{Call: c, From: r.RemoteAddr, Delay: delay, HasLeft: hasLeft})
+			if hasLeft {
+				return
+			}
+			result = h.Runner.Run(r.Context(), c)
 		}
-		result.Host = string(host)
+		result.Host = string(h.Host)
 		if err := writeResult(w, r.Header.Get(requestHeader), result); err != nil && r.Context().Err() == nil {
-			report(&MessageError{Part: "response", Cause: err.Error()})
+			h.OnInvalid(&MessageError{Part: "response", Cause: err.Error()})
 		}
 	})
 }
 
-// parseCall decodes a forwarded call. The deadline is sent as the remaining time, so that the hosts' clocks need not
-// agree.
-func parseCall(w http.ResponseWriter, r *http.Request, memory *link.Memory, clock clockwork.Clock) (call.Call, error) {
-	arrived := clock.Now()
+// parseCall decodes a forwarded call and how much longer than usual it was on its way. The deadline is sent as the
+// remaining time, so that the hosts' clocks need not agree.
+func (h HopReceiver) parseCall(
+	w http.ResponseWriter, r *http.Request, delays *delayMeter,
+) (call.Call, time.Duration, error) {
+	arrived := h.Clock.Now()
+	delay, err := delays.observe(r.Header.Get(sentHeader), h.BootClock.Now())
+	if err != nil {
+		return call.Call{}, 0, err
+	}
 	remainingUS, err := strconv.ParseInt(r.Header.Get(timeLeftHeader), 10, 64)
 	if err != nil {
-		return call.Call{}, &MessageError{Part: timeLeftHeader, Cause: err.Error()}
+		return call.Call{}, delay, &MessageError{Part: timeLeftHeader, Cause: err.Error()}
 	}
 	c := call.Call{
 		ID:       class.RequestID(r.Header.Get(requestHeader)),
@@ -328,31 +355,31 @@
 	var latencyUS int64
 	if _, err := fmt.Sscanf(r.Header.Get(classSpecHeader), specFormat,
 		&latencyUS, &c.Class.Rank, &c.Class.Idempotent); err != nil {
-		return c, &MessageError{Part: classSpecHeader, Cause: err.Error()}
+		return c, delay, &MessageError{Part: classSpecHeader, Cause: err.Error()}
 	}
 	c.Class.Latency = time.Duration(latencyUS) * time.Microsecond
 	c.IsSuspected = r.Header.Get(suspectHeader) != ""
 	if text := r.Header.Get(keyHeader); text != "" {
 		key, err := strconv.ParseUint(text, 10, 16)
 		if err != nil {
-			return c, &MessageError{Part: keyHeader, Cause: err.Error()}
+			return c, delay, &MessageError{Part: keyHeader, Cause: err.Error()}
 		}
 		c.Key, c.HasKey = class.Key(key), true
 	}
 	if r.ContentLength != 0 {
-		c.Body, err = memory.ReadAll(http.MaxBytesReader(w, r.Body, hopMaxBody))
+		c.Body, err = h.Memory.ReadAll(http.MaxBytesReader(w, r.Body, hopMaxBody))
 		var exceeded *link.MemoryError
 		if errors.As(err, &exceeded) {
-			return c, exceeded
+			return c, delay, exceeded
 		}
 		if err != nil {
-			return c, &MessageError{Part: "body", Cause: err.Error()}
+			return c, delay, &MessageError{Part: "body", Cause: err.Error()}
 		}
 	}
 	c.Header = r.Header.Clone()
 	call.StripHopByHop(c.Header)
 	call.StripDaemonHeaders(c.Header)
-	return c, nil
+	return c, delay, nil
 }
 
 // writeResult encodes a result as the response to a forwarded call.
--- a/peer/hop_test.go
+++ b/peer/hop_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/peer"
 )
@@ -29,11 +30,32 @@
 	return r.result
 }
 
+// processStart is the origin of bootClock.
+var processStart = time.Now()
+
+// bootClock is a clock that started with the process.
+type bootClock struct{}
+
+func (bootClock) Now() ownership.Instant { return ownership.Instant(time.Since(processStart)) }
+
+// receiver returns the receiver of host "h" and service "s".
+func receiver(runner peer.CallRunner, onInvalid func(error)) peer.HopReceiver {
+	return peer.HopReceiver{
+		Runner:    runner,
+		Host:      "h",
+		Service:   "s",
+		Clock:     clockwork.NewRealClock(),
+		BootClock: bootClock{},
+		OnInvalid: onInvalid,
+		OnArrival: func(peer.Arrival) {},
+	}
+}
+
 // forward sends a call that is meant for the target host to the daemon of host "h" and service "s".
 func forward(t *testing.T, runner *recordingRunner, target ownership.HostID, change func(*call.Call)) call.Result {
 	t.Helper()
 	clock := clockwork.NewRealClock()
-	server := httptest.NewServer(peer.HopHandler(runner, "h", "s", nil, clock, func(err error) { t.Log(err) }))
+	server := httptest.NewServer(receiver(runner, func(err error) { t.Log(err) }).Handler())
 	t.Cleanup(server.Close)
 	c := call.Call{
 		ID:       "id-1",
@@ -50,7 +72,7 @@
 		Deadline: clock.Now().Add(time.Second),
 	}
 	change(&c)
-	return peer.NewHopClient(func() {}, clock).Send(context.Background(), target, server.Listener.Addr().String(), c)
+	return peer.NewHopClient(func() {}, clock, bootClock{}).Send(context.Background(), target, server.Listener.Addr().String(), c)
 }
 
 func unchanged(*call.Call) {}
@@ -119,7 +141,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		panic(http.ErrAbortHandler)
 	}))
-	client := peer.NewHopClient(func() {}, clock)
+	client := peer.NewHopClient(func() {}, clock, bootClock{})
 	c := call.Call{
 		ID: "1", Class: &class.Class{}, Header: http.Header{}, Method: http.MethodGet, URI: "/",
 		Deadline: clock.Now().Add(time.Second),
@@ -145,13 +167,13 @@
 	g.Expect(conn.Close()).To(gomega.Succeed())
 	runner := &recordingRunner{}
 	served := make(chan struct{})
-	handler := peer.HopHandler(runner, "h", "s", nil, clockwork.NewRealClock(), func(err error) { t.Error(err) })
+	handler := receiver(runner, func(err error) { t.Error(err) }).Handler()
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			defer close(served)
 			handler.ServeHTTP(w, r)
 		}),
-		ConnContext: peer.WithConn,
+		ConnContext: link.WithConn,
 	}
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
