fix(caller): requests of callers that left unread are not sent

Callers saw nothing: they had left. Backend servers ran requests for them, up to seconds later (GONE), which takes room from callers that wait.

Cause: a request that waited in the socket or the accept queue of a busy daemon was read together with the end of its connection. Its deadline was computed from the time of reading, and the end was noticed by a goroutine of net/http while the call was on its way already. Forwarded calls had a check of the connection; calls of callers had none.

Change: the connection is checked when the request is read.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -90,7 +90,10 @@
 	wasUnread := link.HasCallerLeft(r.Context())
 	config := h.config.Load()
 	c, result, ok := h.parseCall(w, r, config, start)
-	if ok {
+	switch {
+	case ok && wasUnread:
+		result = call.NotRun(call.CallerGone)
+	case ok:
 		ctx, cancel := clockwork.WithDeadline(r.Context(), h.clock, c.Deadline)
 		result = h.relay.Do(ctx, c)
 		cancel()
