fix(peer): the time that a call is on its way counts against its deadline

Callers had left, or got no answer in time; backend servers ran their requests with time that had passed (GONE, BUDGET).

Cause: a call states the time that was left when it was sent, and the receiver added it to the time of arrival. Time on a slow link, or unread in the socket of a busy daemon, was given back to the call. The end of the caller's connection comes behind the call on the same link, so nothing else stopped it.

Change: the delay of a call in addition to the usual one (peer.delayMeter) is subtracted, and a call whose deadline has passed is rejected as not run.

--- a/peer/hop.go
+++ b/peer/hop.go
@@ -319,7 +319,7 @@
 			if hasLeft {
 				return
 			}
-			result = h.Runner.Run(r.Context(), c)
+			result = h.run(r.Context(), c)
 		}
 		result.Host = string(h.Host)
 		if err := writeResult(w, r.Header.Get(requestHeader), result); err != nil && r.Context().Err() == nil {
@@ -328,8 +328,16 @@
 	})
 }
 
+// run runs a call unless its deadline passed while it was on its way.
+func (h HopReceiver) run(ctx context.Context, c call.Call) call.Result {
+	if !h.Clock.Now().Before(c.Deadline) {
+		return call.NotRun(call.Late)
+	}
+	return h.Runner.Run(ctx, c)
+}
+
 // parseCall decodes a forwarded call and how much longer than usual it was on its way. The deadline is sent as the
-// remaining time, so that the hosts' clocks need not agree.
+// time that remained when the call was sent, so that the hosts' clocks need not agree.
 func (h HopReceiver) parseCall(
 	w http.ResponseWriter, r *http.Request, delays *delayMeter,
 ) (call.Call, time.Duration, error) {
@@ -349,7 +357,7 @@
 		Method:   r.Method,
 		URI:      r.RequestURI,
 		Host:     r.Host,
-		Deadline: arrived.Add(time.Duration(remainingUS) * time.Microsecond),
+		Deadline: arrived.Add(time.Duration(remainingUS)*time.Microsecond - delay),
 	}
 	c.Class = &class.Class{Name: class.Name(r.Header.Get(classHeader))}
 	var latencyUS int64
