fix(link): requests whose caller has left are not sent

Backend servers ran requests for callers that had left (GONE).

Cause: link.Pool.Do took an idle connection without a look at the context. The end of a context closes the connection on another goroutine, which is later than the write. So a call whose caller left while it was queued, waited for its key or for other routes, or between two attempts was sent all the same.

Change: the context, and the connection that the request arrived on, are checked before each request is written, and once more after a new connection was opened. All requests of callers pass here, between daemons and to servers. 'caller left before its call was sent' now covers all queued calls.

--- a/backend/client.go
+++ b/backend/client.go
@@ -171,7 +171,7 @@
 func ErrorResult(ctx context.Context, err error, isPastDeadline bool) call.Result {
 	var unsent *link.UnsentError
 	isUnsent := errors.As(err, &unsent)
-	isCancelled := errors.Is(context.Cause(ctx), context.Canceled)
+	isCancelled := errors.Is(context.Cause(ctx), context.Canceled) || errors.Is(err, link.ErrCallerGone)
 	switch {
 	case isUnsent && isPastDeadline:
 		return call.NotRun(call.Late)
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -14,7 +14,6 @@
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
-	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/quarantine"
 )
@@ -72,7 +71,7 @@
 	onUnreachable func()
 	// onBroken is called when the server closed the connection of a running call. It must not block.
 	onBroken func(ownership.Instance)
-	// onAbandoned is called when a call is due whose caller has left. It must not block.
+	// onAbandoned is called for a call whose caller left before it was sent. It must not block.
 	onAbandoned func(AbandonedCall)
 	// isAssigned is nil if calls never wait for their key.
 	isAssigned     AssignmentCheck
@@ -111,13 +110,11 @@
 	r.onBroken = onBroken
 }
 
-// AbandonedCall describes a call whose caller had left when the call was due to be sent to the server, for logs and metrics.
+// AbandonedCall describes a call whose caller left before the call was sent to the server, for logs and metrics.
 type AbandonedCall struct {
 	Call call.Call
 	// Waited is how long the call was queued on this host.
 	Waited time.Duration
-	// IsContextEnded reports whether the context of the call had ended as well.
-	IsContextEnded bool
 }
 
 // ObserveAbandoned sets the observer of callers that left before their call was sent. It must be called before the first
@@ -220,7 +217,11 @@
 
 // Run admits a call and sends it to the server. The result carries the load, and a RetryAfter if the call did not run.
 func (r *Runner) Run(ctx context.Context, c call.Call) call.Result {
+	arrived := r.clock.Now()
 	result := r.admit(ctx, c)
+	if result.Outcome == class.NotRun && result.Reason == call.CallerGone {
+		r.onAbandoned(AbandonedCall{Call: c, Waited: r.clock.Since(arrived)})
+	}
 	load := r.Load()
 	result.Load = &load
 	if result.Outcome == class.NotRun && result.RetryAfter == 0 {
@@ -264,9 +265,6 @@
 			continue
 		}
 		if err == nil {
-			if ctx.Err() != nil || link.HasCallerLeft(ctx) {
-				r.onAbandoned(AbandonedCall{Call: c, Waited: r.clock.Since(now), IsContextEnded: ctx.Err() != nil})
-			}
 			return r.dispatch(ctx, c, ticket)
 		}
 		result, isFinal := rejectionResult(ctx, err)
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -132,15 +132,14 @@
 		"has_left", a.HasLeft)
 }
 
-// callAbandoned records a call whose caller had left when it was due to be sent to the backend server.
+// callAbandoned records a call whose caller left before it was sent to the backend server.
 func (o *observer) callAbandoned(a backend.AbandonedCall) {
 	o.counter(abandonedPrefix + "queued").inc()
 	if !o.allowLine() {
 		return
 	}
 	o.log.Info("caller left before its call was sent", "request", a.Call.ID, "class", a.Call.Class.Name,
-		"queued_ms", a.Waited.Milliseconds(), "left_ms", a.Call.Deadline.Sub(o.clock.Now()).Milliseconds(),
-		"context_ended", a.IsContextEnded)
+		"queued_ms", a.Waited.Milliseconds(), "left_ms", a.Call.Deadline.Sub(o.clock.Now()).Milliseconds())
 }
 
 // callFinished records how a call ended. Calls that were not answered are logged one by one, answered calls only at
--- a/link/closed.go
+++ b/link/closed.go
@@ -26,6 +26,27 @@
 	return ok && IsClosedByPeer(conn)
 }
 
+// callerGoneError reports that the caller of a request has closed its connection.
+type callerGoneError struct{}
+
+// Error implements error.
+func (callerGoneError) Error() string { return "the caller has closed its connection" }
+
+// ErrCallerGone is the cause of an UnsentError if the caller of the request has closed its connection.
+var ErrCallerGone error = callerGoneError{}
+
+// departure returns the cause for which nobody waits for the response to a request: the end of its context, or that its
+// caller has left. It returns nil if neither is known.
+func departure(ctx context.Context) error {
+	if err := context.Cause(ctx); err != nil {
+		return err
+	}
+	if HasCallerLeft(ctx) {
+		return ErrCallerGone
+	}
+	return nil
+}
+
 // IsClosedByPeer reports whether the other side has closed a connection, without reading from it.
 func IsClosedByPeer(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
--- a/link/link.go
+++ b/link/link.go
@@ -143,12 +143,22 @@
 
 // Do sends a request once and returns the complete response. Responses that are not accepted belong to other requests and
 // are skipped. A request with an ID is not sent on a connection that recently carried the same ID, because a second copy
-// of the earlier response would be taken for the answer. The error is an UnsentError or a LostError.
+// of the earlier response would be taken for the answer. A request whose context has ended, or whose caller has left, is
+// not sent. The error is an UnsentError or a LostError.
 func (p *Pool) Do(ctx context.Context, r *http.Request, id string, accepts Acceptor) (*Response, error) {
+	if err := departure(ctx); err != nil {
+		return nil, &UnsentError{Cause: err}
+	}
 	c, err := p.acquire(ctx, id)
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
+	if !c.isUsed { // opening the connection may have taken long
+		if err := departure(ctx); err != nil {
+			p.addIdle(c, p.options.IdleTimeout)
+			return nil, &UnsentError{Cause: err}
+		}
+	}
 	c.recordID(id)
 	p.active.Add(1)
 	response, err := c.exchange(ctx, r, accepts, bodyLimits{maxBytes: p.options.MaxBody, memory: p.memory})
