fix(link): the end of a connection is seen behind requests that were sent ahead

Work went on for callers that had sent further requests ahead and left (GONE).

Cause: the check of a connection peeked at its next byte. Behind unread bytes it could not see the end of the stream; net/http stops to look for it after one byte as well.

Change: the check asks poll for POLLRDHUP, which is independent of what is unread.

--- a/link/closed.go
+++ b/link/closed.go
@@ -59,10 +59,11 @@
 	}
 	isClosed := false
 	err = rc.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isOpen := errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR)
-		isClosed = n <= 0 && !isOpen
+		// The end of the stream is reported also behind unread bytes, such as requests that were sent ahead.
+		events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		if _, err := unix.Poll(events, 0); err == nil {
+			isClosed = events[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
 	})
 	return isClosed || err != nil
 }
