fix(caller): a call ends when a caller leaves that had sent another request ahead

Servers went on with work for callers that had left (GONE).

Cause: net/http looks for the end of a connection while a handler runs, but only up to the next byte. After the first byte of a request sent ahead it sees the end only when the handler has returned.

Change: the connection of a call that runs longer than 200 ms is checked at this interval.

Evidence: TestCallEndsWhenACallerLeavesThatSentAhead fails without the change (no end within 0.5 s of the caller's).

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -95,7 +95,9 @@
 		result = call.NotRun(call.CallerGone)
 	case ok:
 		ctx, cancel := clockwork.WithDeadline(r.Context(), h.clock, c.Deadline)
+		stopWatching := h.watchCaller(ctx, cancel)
 		result = h.relay.Do(ctx, c)
+		stopWatching()
 		cancel()
 	}
 	if h.isDraining.Load() {
@@ -112,6 +114,23 @@
 	h.onFinished(finished)
 }
 
+// departureInterval is how often the connection of a running call is checked. Most calls end before the first check.
+const departureInterval = 200 * time.Millisecond
+
+// watchCaller calls onDeparture if the caller leaves while its call runs. The context of a request does not end if the
+// caller has sent another request behind it.
+func (h *Handler) watchCaller(ctx context.Context, onDeparture func()) (stop func() bool) {
+	return h.clock.AfterFunc(departureInterval, func() {
+		switch {
+		case ctx.Err() != nil:
+		case link.HasCallerLeft(ctx):
+			onDeparture()
+		default:
+			h.watchCaller(ctx, onDeparture)
+		}
+	}).Stop
+}
+
 // parseCall converts a request to a call. If the request cannot be served, it returns false and the result that rejects
 // it.
 func (h *Handler) parseCall(
--- a/daemon/departed_test.go
+++ b/daemon/departed_test.go
@@ -16,19 +16,20 @@
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
-// countingSender counts the calls that are sent, and answers none of them.
-type countingSender struct{ sent chan class.RequestID }
+// senderFunc is a caller.Sender.
+type senderFunc func(ctx context.Context, c call.Call) call.Result
 
 // Send implements caller.Sender.
-func (s countingSender) Send(_ context.Context, _ *caller.Server, c call.Call) call.Result {
-	s.sent <- c.ID
-	return call.Unknown(call.AnswerLost)
+func (f senderFunc) Send(ctx context.Context, _ *caller.Server, c call.Call) call.Result {
+	return f(ctx, c)
 }
 
-// TestRequestsReadAfterTheirCallersLeftAreNotSent guards against work for callers that sent a request and left while
-// their connection waited to be accepted.
-func TestRequestsReadAfterTheirCallersLeftAreNotSent(t *testing.T) {
-	const callers = 30
+// startCallerServer serves the calls of one idempotent class through a sender, once start is called. It returns the address
+// and the calls that have finished.
+func startCallerServer(
+	t *testing.T, sender senderFunc,
+) (address string, finished <-chan caller.FinishedCall, start func()) {
+	t.Helper()
 	g := gomega.NewWithT(t)
 	clock := clockwork.NewRealClock()
 	d := New(testSettings(), Options{Log: hclog.NewNullLogger(), Clock: clock})
@@ -37,38 +38,84 @@
 		"free": caller.NewServiceRoute(false, []caller.Server{{Host: "a", IsUsable: true, Concurrency: 2}}, nil),
 	})
 	budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, clock)
-	sender := countingSender{sent: make(chan class.RequestID, 2*callers)}
 	relay := caller.NewRelay("d", table, sender, budget, func(caller.Attempt) {}, clock, 1)
-	finished := make(chan caller.FinishedCall, callers)
-	handler := caller.NewHandler(relay, "own", call.DefaultHeaderNames(),
-		func(f caller.FinishedCall) { finished <- f }, clock)
+	calls := make(chan caller.FinishedCall, 100)
+	handler := caller.NewHandler(relay, "own", call.DefaultHeaderNames(), func(f caller.FinishedCall) { calls <- f }, clock)
 	handler.SetConfig(&class.Config{
 		Version: 1,
 		Classes: []class.Class{{
 			Name: "read", Host: "h", Prefix: "/", Destinations: []class.Destination{{Service: "free", Weight: 1}},
-			Latency: 100 * time.Millisecond, Timeout: time.Second, Attempts: 2, Idempotent: true,
+			Latency: 100 * time.Millisecond, Timeout: time.Minute, Attempts: 2, Idempotent: true,
 		}},
 		Services: map[class.Service]class.ServiceSettings{"free": {}},
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
+	l := newLimitedServer(handler, d.observer.httpErrorLog("test"))
+	var ended chan error
+	t.Cleanup(func() {
+		_ = listener.Close() // ends the serve loop
+		if ended != nil {
+			g.Eventually(ended).Should(gomega.Receive())
+		}
+		l.close()
+	})
+	return listener.Addr().String(), calls, func() {
+		ended = make(chan error, 1)
+		go func() { ended <- l.serve(d.lingerer.listen(listener)) }()
+	}
+}
+
+// sendRequest opens a connection and sends a request on it.
+func sendRequest(t *testing.T, address string) net.Conn {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return conn
+}
+
+// TestRequestsReadAfterTheirCallersLeftAreNotSent guards against work for callers that sent a request and left while
+// their connection waited to be accepted.
+func TestRequestsReadAfterTheirCallersLeftAreNotSent(t *testing.T) {
+	const callers = 30
+	g := gomega.NewWithT(t)
+	sent := make(chan class.RequestID, 2*callers)
+	address, finished, start := startCallerServer(t, func(_ context.Context, c call.Call) call.Result {
+		sent <- c.ID
+		return call.Unknown(call.AnswerLost)
+	})
 	for range callers {
-		conn, err := net.Dial("tcp", listener.Addr().String())
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 125\r\n\r\n")
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(conn.Close()).To(gomega.Succeed())
+		g.Expect(sendRequest(t, address).Close()).To(gomega.Succeed())
 	}
-	l := newLimitedServer(handler, d.observer.httpErrorLog("test"))
-	ended := make(chan error, 1)
-	go func() { ended <- l.serve(d.lingerer.listen(listener)) }()
+	start()
 	for range callers {
 		var f caller.FinishedCall
 		g.Eventually(finished, 10*time.Second).Should(gomega.Receive(&f))
 		g.Expect(f.Result.Reason).To(gomega.Equal(call.CallerGone))
 	}
-	g.Expect(sender.sent).To(gomega.BeEmpty())
-	g.Expect(listener.Close()).To(gomega.Succeed())
-	l.close()
-	g.Eventually(ended).Should(gomega.Receive())
+	g.Expect(sent).To(gomega.BeEmpty())
+}
+
+// TestCallEndsWhenACallerLeavesThatSentAhead guards against work that goes on for callers that left behind a request sent
+// ahead.
+func TestCallEndsWhenACallerLeavesThatSentAhead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	running, ended := make(chan struct{}, 1), make(chan error, 1)
+	address, _, start := startCallerServer(t, func(ctx context.Context, _ call.Call) call.Result {
+		running <- struct{}{}
+		<-ctx.Done()
+		ended <- context.Cause(ctx)
+		return call.Unknown(call.CallerGone)
+	})
+	start()
+	conn := sendRequest(t, address)
+	g.Eventually(running).Should(gomega.Receive())
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Consistently(ended, 100*time.Millisecond).ShouldNot(gomega.Receive())
+	g.Expect(conn.Close()).To(gomega.Succeed())
+	g.Eventually(ended, 500*time.Millisecond).Should(gomega.Receive(gomega.MatchError(context.Canceled)))
 }
