--- a/soak/checks.go
+++ b/soak/checks.go
@@ -33,7 +33,7 @@
 // an older version.
 func (r *runner) monitorConfigs(ctx context.Context) {
 	seen := map[incarnation]class.Version{}
-	for sleep(ctx, pollInterval) {
+	for deployment.Sleep(ctx, pollInterval) {
 		for _, h := range r.deployment.Hosts {
 			if h.IsDaemonRunning() {
 				r.checkConfig(ctx, h, seen)
@@ -112,6 +112,16 @@
 	if recovery != nil {
 		r.deployment.Checker.ReportViolation("%v", recovery)
 	}
+	for _, e := range r.deployment.Checker.AbandonedExecutions() {
+		// The first calls of a daemon have nothing to compare their time on the way with.
+		mayBeHeldUp := r.hasInjection(e.DepartedAt.Add(-faultAftermath), e.At, func(i injection) bool {
+			return i.fault.holdsUpCalls && i.host == e.Host
+		})
+		if !mayBeHeldUp {
+			r.deployment.Checker.ReportViolation("request %s began to run on host %s %s after its caller had left",
+				e.Request, e.Host, e.At.Sub(e.DepartedAt))
+		}
+	}
 	for _, broken := range load.BrokenCalls() {
 		h := r.deployment.FindHost(string(broken.Host))
 		if !r.mayBreakConnections(h, broken.At.Add(-shutdownGracePeriod), broken.At) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -14,6 +14,8 @@
 	name string
 	// breaksConnections is set if callers of the host may see broken connections.
 	breaksConnections bool
+	// holdsUpCalls is set if calls to the host may be held up without a sign of it.
+	holdsUpCalls bool
 	// delaysConfig is where a configuration may take longer to come into force: on the host, or everywhere.
 	delaysConfig scope
 	// inject starts the fault and revert ends it. Revert is nil if the fault needs no reverting.
@@ -66,12 +68,12 @@
 			revert: startServer,
 		},
 		{
-			name: "cut", breaksConnections: true, delaysConfig: onHost,
+			name: "cut", breaksConnections: true, holdsUpCalls: true, delaysConfig: onHost,
 			inject: impairLinks(Impairment{StallToTarget: true, StallFromTarget: true}, peerLinks...),
 			revert: restoreLinks(peerLinks...),
 		},
 		{
-			name: "cut one way", breaksConnections: true, delaysConfig: onHost,
+			name: "cut one way", breaksConnections: true, holdsUpCalls: true, delaysConfig: onHost,
 			inject: impairLinks(Impairment{StallToTarget: true}, peerLinks...),
 			revert: restoreLinks(peerLinks...),
 		},
@@ -157,7 +159,7 @@
 // drainServer makes a backend server announce that it is draining, and stops it after drainDuration.
 func drainServer(r *runner, h *deployment.Host) {
 	h.DrainServer()
-	if sleep(r.ctx, drainDuration) {
+	if deployment.Sleep(r.ctx, drainDuration) {
 		crashServer(r, h)
 	}
 }
@@ -165,7 +167,7 @@
 // shutDownServer makes a backend server deregister, and end in an orderly way after drainDuration.
 func shutDownServer(r *runner, h *deployment.Host) {
 	h.DeregisterServer()
-	if sleep(r.ctx, drainDuration) {
+	if deployment.Sleep(r.ctx, drainDuration) {
 		r.withHostLock(h, h.ShutDownServer)
 	}
 }
@@ -177,11 +179,11 @@
 	h.DeregisterServer()
 	killDaemon(r, h)
 	startDaemon(r, h)
-	if !sleep(r.ctx, heartbeatDelay) {
+	if !deployment.Sleep(r.ctx, heartbeatDelay) {
 		return
 	}
 	deliver()
-	if sleep(r.ctx, drainDuration) {
+	if deployment.Sleep(r.ctx, drainDuration) {
 		crashServer(r, h)
 	}
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/skylarkrelay/skylarkrelay/standin/deployment"
 )
 
 // Impairment describes how a proxy disturbs the connections of one link.
@@ -181,7 +183,7 @@
 // ends first.
 func (p *Proxy) awaitRelease(ctx context.Context, isStalled func(Impairment) bool) bool {
 	impairment, _ := p.current()
-	if impairment.Delay > 0 && !sleep(ctx, impairment.Delay) {
+	if impairment.Delay > 0 && !deployment.Sleep(ctx, impairment.Delay) {
 		return false
 	}
 	for {
@@ -196,15 +198,3 @@
 		}
 	}
 }
-
-// sleep waits for a duration and reports whether it elapsed before the context ended.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/soak/run.go
+++ b/soak/run.go
@@ -188,7 +188,7 @@
 	var group sync.WaitGroup
 	for _, step := range steps {
 		group.Go(func() {
-			if sleep(r.ctx, step.Start-time.Since(start)) {
+			if deployment.Sleep(r.ctx, step.Start-time.Since(start)) {
 				r.injectStep(step)
 			}
 		})
@@ -201,7 +201,7 @@
 	f, h := faultByName(step.Fault), r.deployment.Hosts[step.Host]
 	index := r.recordInjection(injection{fault: f, host: h.ID, from: time.Now()})
 	f.inject(r, h)
-	sleep(r.ctx, step.Duration)
+	deployment.Sleep(r.ctx, step.Duration)
 	if f.revert != nil {
 		f.revert(r, h)
 	}
@@ -246,7 +246,7 @@
 				"not every daemon serves with the newest configuration after " + elapsed.String() + ": " + reason,
 			}}
 		}
-		if !sleep(r.ctx, pollInterval) {
+		if !deployment.Sleep(r.ctx, pollInterval) {
 			return 0, r.ctx.Err()
 		}
 	}
--- a/standin/deployment/checker.go
+++ b/standin/deployment/checker.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 )
@@ -18,6 +18,9 @@
 	holds      map[ownership.Instance]*keyspace.Map[keyHold]
 	lastGrants keyspace.Map[lastGrant]
 	executions map[string]int
+	// departedAt is when callers left whose requests had not been answered, by request.
+	departedAt map[string]time.Time
+	abandoned  []AbandonedExecution
 	violations []string
 }
 
@@ -28,7 +31,11 @@
 }
 
 func newInvariantChecker() *InvariantChecker {
-	return &InvariantChecker{holds: map[ownership.Instance]*keyspace.Map[keyHold]{}, executions: map[string]int{}}
+	return &InvariantChecker{
+		holds:      map[ownership.Instance]*keyspace.Map[keyHold]{},
+		executions: map[string]int{},
+		departedAt: map[string]time.Time{},
+	}
 }
 
 // checkGrant records a grant and checks that no other instance holds its keys and that its fence is above the fences
@@ -72,11 +79,41 @@
 	delete(c.holds, instance)
 }
 
-// recordExecution counts an execution of a request and checks that the request names its origin.
-func (c *InvariantChecker) recordExecution(id string, _ class.Service, origin string) {
+// AbandonedExecution is the start of an execution whose caller had left.
+type AbandonedExecution struct {
+	Request string
+	// Host is the host of the server that executed the request.
+	Host       ownership.HostID
+	DepartedAt time.Time
+	At         time.Time
+}
+
+// departureTolerance is how long after its caller left a request may still begin to run.
+const departureTolerance = 500 * time.Millisecond
+
+// recordDeparture records that the caller of a request has left.
+func (c *InvariantChecker) recordDeparture(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.departedAt[id] = time.Now()
+}
+
+// AbandonedExecutions returns the executions that began more than departureTolerance after their callers had left.
+func (c *InvariantChecker) AbandonedExecutions() []AbandonedExecution {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.abandoned)
+}
+
+// recordExecution counts an execution of a request by the server on a host, and checks that the request names its origin.
+func (c *InvariantChecker) recordExecution(id string, host ownership.HostID, origin string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.executions[id]++
+	now := time.Now()
+	if departedAt, ok := c.departedAt[id]; ok && now.Sub(departedAt) > departureTolerance {
+		c.abandoned = append(c.abandoned, AbandonedExecution{Request: id, Host: host, DepartedAt: departedAt, At: now})
+	}
 	if origin == "" {
 		c.addViolation("request %s has no origin", id)
 	}
--- a/standin/deployment/load.go
+++ b/standin/deployment/load.go
@@ -89,6 +89,7 @@
 		classes := d.plan.Config.Classes
 		if i := slices.IndexFunc(classes, func(c class.Class) bool { return c.Idempotent }); i >= 0 {
 			l.workers.Go(func() { l.pipelineLoop(ctx, h, &classes[i]) })
+			l.workers.Go(func() { l.leaveLoop(ctx, h, &classes[i]) })
 		}
 	}
 	return l
--- a/standin/deployment/pipeline.go
+++ b/standin/deployment/pipeline.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// writeGet writes a request for a random key and a path of a class.
+func writeGet(conn net.Conn, c *class.Class, path, id string, timeout time.Duration) error {
+	headers := platform.Headers()
+	_, err := fmt.Fprintf(conn, "GET %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\n\r\n",
+		c.Prefix, path, c.Host, headers.RequestID, id, headers.DeadlineMS, timeout.Milliseconds(),
+		headers.Key, rand.IntN(class.KeyCount))
+	return err
+}
+
 // sendAhead sends a series of requests on one connection and reads the first answer. The caller takes no more of them, as
 // if it had what it needs.
 func sendAhead(h *Host, c *class.Class, id string) error {
@@ -68,12 +77,8 @@
 	if err := conn.(*net.TCPConn).SetReadBuffer(pipelineWindow); err != nil {
 		return err
 	}
-	headers := platform.Headers()
 	for i := range pipelineLength {
-		_, err := fmt.Fprintf(conn, "GET %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s-%d\r\n%s: %d\r\n%s: %d\r\n\r\n",
-			c.Prefix, largePath, c.Host, headers.RequestID, id, i, headers.DeadlineMS, c.Timeout.Milliseconds(),
-			headers.Key, rand.IntN(class.KeyCount))
-		if err != nil {
+		if err := writeGet(conn, c, largePath, fmt.Sprintf("%s-%d", id, i), c.Timeout); err != nil {
 			return err
 		}
 		time.Sleep(pipelineSpacing)
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -297,7 +297,7 @@
 		return
 	}
 	s.checkDrainTime(id)
-	s.checker.recordExecution(id, s.service, r.Header.Get(s.headers.Origin))
+	s.checker.recordExecution(id, s.Host, r.Header.Get(s.headers.Origin))
 	select {
 	case <-time.After(processingTime):
 	case <-r.Context().Done():
