fix(ownership): a takeover of many lost hosts fits into the store's transactions

Cause: a takeover has two conditions for each lost host, and the store accepts 32 entries in one transaction. From 15 hosts lost at once on, each write was rejected with 400 and sent again unchanged.

Change: one write takes over 14 hosts at most; the next follows at once. The store in memory rejects larger transactions too.

--- a/ownership/write.go
+++ b/ownership/write.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -388,9 +389,22 @@
 	return NoMember
 }
 
+const (
+	// conditionsPerTakeover are those on the epoch and the presence of a lost host.
+	conditionsPerTakeover = 2
+	// entriesPerWrite are the record, and the conditions on its revision and on this host's epoch.
+	entriesPerWrite = 3
+	// maxTakeoversPerWrite is how many lost hosts one write can take over.
+	maxTakeoversPerWrite = (store.MaxTxnEntries - entriesPerWrite) / conditionsPerTakeover
+)
+
 // composeTakeovers assigns the keys of lost hosts whose authority has expired to other hosts.
 func (m *StateMachine) composeTakeovers(now Instant, d *draft) {
-	for host, t := range m.takeovers {
+	for _, host := range slices.Sorted(maps.Keys(m.takeovers)) {
+		if len(d.takenOver) == maxTakeoversPerWrite {
+			return // the rest follows with the next write
+		}
+		t := m.takeovers[host]
 		index := d.record.MemberIndex(host)
 		if !t.hasLeaseEnded || now < t.authorityEndsAt || index == NoMember {
 			continue
--- a/store/memory.go
+++ b/store/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -175,6 +176,9 @@
 
 // Commit implements Store.
 func (m *Memory) Commit(_ context.Context, txn Txn) (Revision, error) {
+	if n := txn.entries(); n > MaxTxnEntries {
+		return 0, &RejectedError{Call: "commit", Cause: fmt.Sprintf("%d entries, at most %d are accepted", n, MaxTxnEntries)}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireLeases()
--- a/store/store.go
+++ b/store/store.go
@@ -92,6 +92,9 @@
 	Lease LeaseID
 }
 
+// MaxTxnEntries is the number of conditions, puts and removes that a transaction may have in total.
+const MaxTxnEntries = 32
+
 // Txn is an atomic transaction: if all Conditions hold, all Puts and Removes are applied, otherwise none.
 type Txn struct {
 	Conditions []Condition
@@ -99,6 +102,9 @@
 	Removes    []string
 }
 
+// entries returns the number of conditions, puts and removes.
+func (t Txn) entries() int { return len(t.Conditions) + len(t.Puts) + len(t.Removes) }
+
 // Era returns the newest era of the revisions that the conditions require, or zero.
 func (t Txn) Era() Era {
 	newest := Era(0)
