--- a/soak/faults.go
+++ b/soak/faults.go
@@ -44,6 +44,8 @@
 	responseLossRatio = 0.35
 	// drainDuration is how long a draining backend server keeps running before it stops.
 	drainDuration = 2500 * time.Millisecond
+	// leavingCallers is the number of callers that leave while a daemon is stopped.
+	leavingCallers = 40
 	// heartbeatDelay is by how much a heartbeat is late after the restart of its daemon.
 	heartbeatDelay = 500 * time.Millisecond
 )
@@ -55,7 +57,7 @@
 		{name: "terminate", delaysConfig: onHost, inject: terminateDaemon, revert: startDaemon},
 		{
 			name: "freeze", breaksConnections: true, delaysConfig: onHost,
-			inject: signalDaemon(syscall.SIGSTOP),
+			inject: freezeDaemon,
 			revert: signalDaemon(syscall.SIGCONT),
 		},
 		{name: "reload", inject: signalDaemon(syscall.SIGHUP), revert: signalDaemon(syscall.SIGHUP)},
@@ -152,6 +154,12 @@
 	return func(_ *runner, h *deployment.Host) { _ = h.SignalDaemon(s) } // the process may have exited
 }
 
+// freezeDaemon stops a daemon while callers send requests and leave. It reads the requests when it goes on.
+func freezeDaemon(r *runner, h *deployment.Host) {
+	signalDaemon(syscall.SIGSTOP)(r, h)
+	r.deployment.SendAndLeave(r.ctx, h, leavingCallers)
+}
+
 func crashServer(r *runner, h *deployment.Host) {
 	r.withHostLock(h, func() { h.CrashServer() })
 }
--- a/standin/deployment/leave.go
+++ b/standin/deployment/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,18 +26,41 @@
 	for Sleep(ctx, rand.N(2*leaveInterval)) {
 		id := strconv.FormatUint(rand.Uint64(), 36)
 		// Errors are those of a daemon that was stopped or killed.
-		_ = l.sendAndLeave(ctx, h, c, id, rand.N(maxPatience))
+		_ = l.deployment.sendAndLeave(ctx, h, c, id, rand.N(maxPatience))
 	}
 }
 
-func (l *Load) sendAndLeave(ctx context.Context, h *Host, c *class.Class, id string, patience time.Duration) error {
+// SendAndLeave makes a number of callers send idempotent requests through one daemon and leave at once.
+func (d *Deployment) SendAndLeave(ctx context.Context, h *Host, callers int) {
+	c := d.idempotentClass()
+	if c == nil {
+		return
+	}
+	for range callers {
+		id := strconv.FormatUint(rand.Uint64(), 36)
+		_ = d.sendAndLeave(ctx, h, c, id, 0) // as above
+	}
+}
+
+// idempotentClass returns the first idempotent class, or nil if there is none.
+func (d *Deployment) idempotentClass() *class.Class {
+	classes := d.plan.Config.Classes
+	if i := slices.IndexFunc(classes, func(c class.Class) bool { return c.Idempotent }); i >= 0 {
+		return &classes[i]
+	}
+	return nil
+}
+
+func (d *Deployment) sendAndLeave(
+	ctx context.Context, h *Host, c *class.Class, id string, patience time.Duration,
+) error {
 	conn, err := net.DialTimeout("tcp", h.CallerAddress(), leaveDialTimeout)
 	if err != nil {
 		return err
 	}
 	defer func() {
 		_ = conn.Close() // it may have been reset
-		l.deployment.Checker.recordDeparture(id)
+		d.Checker.recordDeparture(id)
 	}()
 	if err := writeGet(conn, c, "item", id, maxPatience); err != nil {
 		return err
--- a/standin/deployment/load.go
+++ b/standin/deployment/load.go
@@ -9,7 +9,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -86,10 +85,9 @@
 			l.lastAnswered[c.Name] = time.Now()
 			l.workers.Go(func() { l.callLoop(ctx, h, c) })
 		}
-		classes := d.plan.Config.Classes
-		if i := slices.IndexFunc(classes, func(c class.Class) bool { return c.Idempotent }); i >= 0 {
-			l.workers.Go(func() { l.pipelineLoop(ctx, h, &classes[i]) })
-			l.workers.Go(func() { l.leaveLoop(ctx, h, &classes[i]) })
+		if c := d.idempotentClass(); c != nil {
+			l.workers.Go(func() { l.pipelineLoop(ctx, h, c) })
+			l.workers.Go(func() { l.leaveLoop(ctx, h, c) })
 		}
 	}
 	return l
