--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,6 +98,7 @@
 	*store.Memory
 	change     func()
 	watches    int
+	reread     sync.Once
 	rereadDone chan struct{}
 }
 
@@ -112,7 +114,7 @@
 func (s *eventLossStore) Get(ctx context.Context, key string) (store.Item, error) {
 	item, err := s.Memory.Get(ctx, key)
 	if key == platform.ConfigKey && s.watches > 0 {
-		close(s.rereadDone)
+		s.reread.Do(func() { close(s.rereadDone) })
 	}
 	return item, err
 }
