fix(caller): the time of a request sent ahead begins when it arrives

Callers that send requests ahead got answers after their deadline, and servers ran requests with time that had passed (GONE, BUDGET).

Cause: a request that waits behind another one on its connection was read after the answer to that one, and its deadline was computed from there.

Change: accepted connections measure when requests arrive. net/http reads what came with the request before, or the first byte behind it, while that one runs; a read that had to wait begins a new request.

Evidence: TestTimeOfARequestSentAheadBeginsWhenItArrives failed before for requests in one packet and in two. Requests after an answer, after a body, and after a body that nobody read keep their whole time.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -89,10 +89,12 @@
 	start := h.clock.Now()
 	wasUnread := link.HasCallerLeft(r.Context())
 	config := h.config.Load()
-	c, result, ok := h.parseCall(w, r, config, start)
+	c, result, ok := h.parseCall(w, r, config, start.Add(-link.TakeWait(r.Context())))
 	switch {
 	case ok && wasUnread:
 		result = call.NotRun(call.CallerGone)
+	case ok && !h.clock.Now().Before(c.Deadline):
+		result = call.NotRun(call.Late)
 	case ok:
 		ctx, cancel := clockwork.WithDeadline(r.Context(), h.clock, c.Deadline)
 		stopWatching := h.watchCaller(ctx, cancel)
@@ -131,10 +133,10 @@
 	}).Stop
 }
 
-// parseCall converts a request to a call. If the request cannot be served, it returns false and the result that rejects
+// parseCall converts a request, which arrived at the given time, to a call. If the request cannot be served, it returns false and the result that rejects
 // it.
 func (h *Handler) parseCall(
-	w http.ResponseWriter, r *http.Request, config *Config, now time.Time,
+	w http.ResponseWriter, r *http.Request, config *Config, arrivedAt time.Time,
 ) (call.Call, call.Result, bool) {
 	c := call.Call{
 		ID:     class.RequestID(r.Header.Get(h.headerNames.RequestID)),
@@ -160,7 +162,7 @@
 	if !ok {
 		return c, call.NotRun(call.BadRequest), false
 	}
-	c.Deadline = now.Add(timeout)
+	c.Deadline = arrivedAt.Add(timeout)
 	if text := r.Header.Get(h.headerNames.Key); text != "" && config.Services[c.Service].IsKeyed {
 		key, err := strconv.ParseUint(text, 10, 16)
 		if err != nil {
--- a/daemon/departed_test.go
+++ b/daemon/departed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -119,3 +121,62 @@
 	g.Expect(conn.Close()).To(gomega.Succeed())
 	g.Eventually(ended, 500*time.Millisecond).Should(gomega.Receive(gomega.MatchError(context.Canceled)))
 }
+
+// TestTimeOfARequestSentAheadBeginsWhenItArrives guards against work for callers whose time passed while their request
+// waited behind another one on its connection.
+func TestTimeOfARequestSentAheadBeginsWhenItArrives(t *testing.T) {
+	const (
+		duration = 300 * time.Millisecond
+		patience = 200 * time.Millisecond
+	)
+	headers := call.DefaultHeaderNames()
+	request := func(method, path, id, body string) string {
+		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+			method, path, headers.RequestID, id, headers.DeadlineMS, patience.Milliseconds(), len(body), body)
+	}
+	for name, c := range map[string]struct {
+		first  string
+		second string
+		// pause is the time between the requests. The caller reads the first response before a pause that is longer than the
+		// first request takes.
+		pause  time.Duration
+		isLate bool
+	}{
+		"in one packet":    {first: request("GET", "/slow", "1", ""), isLate: true},
+		"in two packets":   {first: request("GET", "/slow", "1", ""), pause: 50 * time.Millisecond, isLate: true},
+		"after the answer": {first: request("GET", "/slow", "1", ""), pause: 2 * duration},
+		"after a body":     {first: request("POST", "/slow", "1", "body"), pause: 2 * duration},
+		"after a body that was not read": {
+			first: strings.Replace(request("POST", "/", "1", "body"), "Host: h", "Host: unknown", 1), pause: 2 * duration,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			address, finished, start := startCallerServer(t, func(_ context.Context, c call.Call) call.Result {
+				if c.URI == "/slow" {
+					time.Sleep(duration)
+				}
+				return call.NotRun(call.Overload)
+			})
+			start()
+			conn, err := net.Dial("tcp", address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer conn.Close()
+			second := request("GET", "/", "2", "")
+			if c.pause == 0 {
+				c.first, second = c.first+second, ""
+			}
+			_, err = io.WriteString(conn, c.first)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			time.Sleep(c.pause)
+			_, err = io.WriteString(conn, second)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			var f caller.FinishedCall
+			for f.Call.ID != "2" {
+				g.Eventually(finished, 5*time.Second).Should(gomega.Receive(&f))
+			}
+			g.Expect(f.Result.Reason == call.Late).To(gomega.Equal(c.isLate), "%v", f.Result.Reason)
+		})
+	}
+}
--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/skylarkrelay/skylarkrelay/link"
 )
 
 const (
@@ -64,6 +66,7 @@
 // received yet.
 type lingeringConn struct {
 	*net.TCPConn
+	link.ArrivalMeter
 	lingerer *lingerer
 
 	// hasEnded is whether the other side has closed the connection.
@@ -82,7 +85,11 @@
 	if c.closed() {
 		return 0, net.ErrClosed
 	}
+	begunAt := time.Now() // connections are measured by the operating system's clock
 	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.Observe(begunAt, time.Now())
+	}
 	if errors.Is(err, io.EOF) {
 		c.hasEnded.Store(true)
 	}
--- a/link/closed.go
+++ b/link/closed.go
@@ -38,6 +38,8 @@
 type probe struct {
 	// raw is nil if the connection is not one of the operating system.
 	raw syscall.RawConn
+	// arrivals is nil if the connection does not measure when its requests arrive.
+	arrivals arrivalConn
 	// check is the method checkDescriptor, which is kept because each use of a method as a function allocates it.
 	check func(fd uintptr)
 
@@ -50,6 +52,7 @@
 func newProbe(conn net.Conn) *probe {
 	p := &probe{}
 	p.check = p.checkDescriptor
+	p.arrivals, _ = conn.(arrivalConn)
 	if c, ok := conn.(syscall.Conn); ok {
 		// It fails only for connections that are not initialized.
 		p.raw, _ = c.SyscallConn()
