--- a/caller/handler.go
+++ b/caller/handler.go
@@ -133,8 +133,8 @@
 	}).Stop
 }
 
-// parseCall converts a request, which arrived at the given time, to a call. If the request cannot be served, it returns false and the result that rejects
-// it.
+// parseCall converts a request, which arrived at the given time, to a call. If the request cannot be served, it returns
+// false and the result that rejects it.
 func (h *Handler) parseCall(
 	w http.ResponseWriter, r *http.Request, config *Config, arrivedAt time.Time,
 ) (call.Call, call.Result, bool) {
