perf(caller): connections of running calls are watched only behind requests sent ahead

Each call had a timer, which fired every 200 ms while the call waited in the queue of a busy server. Only a request that arrives behind the one that runs keeps net/http from noticing the end of the connection, so the watch begins there.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -97,7 +97,7 @@
 		result = call.NotRun(call.Late)
 	case ok:
 		ctx, cancel := clockwork.WithDeadline(r.Context(), h.clock, c.Deadline)
-		stopWatching := h.watchCaller(ctx, cancel)
+		stopWatching := link.OnReadAhead(ctx, func() { h.watchCaller(ctx, cancel) })
 		result = h.relay.Do(ctx, c)
 		stopWatching()
 		cancel()
@@ -116,13 +116,13 @@
 	h.onFinished(finished)
 }
 
-// departureInterval is how often the connection of a running call is checked. Most calls end before the first check.
+// departureInterval is how often the connection of a running call is checked if its caller has sent a request ahead.
 const departureInterval = 200 * time.Millisecond
 
 // watchCaller calls onDeparture if the caller leaves while its call runs. The context of a request does not end if the
 // caller has sent another request behind it.
-func (h *Handler) watchCaller(ctx context.Context, onDeparture func()) (stop func() bool) {
-	return h.clock.AfterFunc(departureInterval, func() {
+func (h *Handler) watchCaller(ctx context.Context, onDeparture func()) {
+	h.clock.AfterFunc(departureInterval, func() {
 		switch {
 		case ctx.Err() != nil:
 		case link.HasCallerLeft(ctx):
@@ -130,7 +130,7 @@
 		default:
 			h.watchCaller(ctx, onDeparture)
 		}
-	}).Stop
+	})
 }
 
 // parseCall converts a request, which arrived at the given time, to a call. If the request cannot be served, it returns
