--- a/backend/client.go
+++ b/backend/client.go
@@ -112,6 +112,9 @@
 		RateLimit: rate.Inf,
 		IsLeaving: header.Get(client.headerNames.Leaving) == call.LeavingValue,
 	}
+	if text := header.Get(client.headerNames.ServerLoad); text != "" {
+		notice.Load, notice.LoadErr = call.ParseServerLoad(client.headerNames.ServerLoad, text)
+	}
 	name := client.headerNames.RateLimit
 	text := header.Get(name)
 	if text == "" {
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -392,8 +392,10 @@
 	if result.Notice == nil {
 		return
 	}
-	if result.Notice.Err != nil {
-		r.noticeObserver.Invalid(result.Notice.Err)
+	for _, err := range []error{result.Notice.Err, result.Notice.LoadErr} {
+		if err != nil {
+			r.noticeObserver.Invalid(err)
+		}
 	}
 	if result.Notice.IsLeaving && !r.stated.isLeaving {
 		r.stated.isLeaving = true
--- a/call/call.go
+++ b/call/call.go
@@ -32,6 +32,11 @@
 	IsRetry bool
 	// IsSuspected reports whether a backend server ended during an earlier attempt.
 	IsSuspected bool
+	// IsNested reports whether a backend server makes the call while it runs another one.
+	IsNested bool
+	// MaxWait is how long the call may be queued at the backend server before it is rejected, so that another one can
+	// be asked. Zero means that only the deadline bounds the wait.
+	MaxWait time.Duration
 }
 
 //go:generate go tool stringer -type=Reason -linecomment
--- a/call/header.go
+++ b/call/header.go
@@ -26,6 +26,10 @@
 	RateLimit string
 	// Leaving states, with the value LeavingValue, that a backend server is leaving.
 	Leaving string
+	// ServerLoad states the load of a backend server. See ServerLoad.
+	ServerLoad string
+	// Warmup is for how many more milliseconds a backend server is cold, in responses to health checks.
+	Warmup string
 }
 
 // DefaultHeaderNames returns the header names that are used without a platform adapter.
@@ -40,6 +44,8 @@
 		Key:              "Skylark-Key",
 		RateLimit:        "Skylark-Rate-Limit",
 		Leaving:          "Skylark-Leaving",
+		ServerLoad:       "Skylark-Server-Load",
+		Warmup:           "Skylark-Warmup-Ms",
 	}
 }
 
--- a/class/class.go
+++ b/class/class.go
@@ -40,8 +40,21 @@
 	Idempotent bool
 	// Attempts is the maximum number of backend servers to which one call may be sent.
 	Attempts int
+	// Bulk states whether the requests or the responses of the class have large bodies.
+	Bulk Bulk
 }
 
+//go:generate go tool stringer -type=Bulk -linecomment
+
+// Bulk is the direction in which the calls of a class carry large bodies.
+type Bulk int
+
+const (
+	NoBulk   Bulk = iota // none
+	Upload               // upload
+	Download             // download
+)
+
 // Destination is a service that receives a share of the calls of a class.
 type Destination struct {
 	Service Service
@@ -63,6 +76,10 @@
 	MaxConnections int
 	// IsKeyed reports whether the service is sharded by key: each key is then assigned to one backend server.
 	IsKeyed bool
+	// WarmupTime is how long a backend server is cold after its start.
+	WarmupTime time.Duration
+	// WarmupRate is how many requests per second a cold backend server accepts, or zero for no limit.
+	WarmupRate float64
 }
 
 // Limits bounds the size and timing of callers' requests.
@@ -80,3 +97,19 @@
 	Services map[Service]ServiceSettings
 	Limits   Limits
 }
+
+// IsLoadAware reports whether the configuration asks for load-aware decisions: it has classes with bulk bodies, or
+// services whose cold servers accept a limited rate. Other configurations are served without them.
+func (c *Config) IsLoadAware() bool {
+	for i := range c.Classes {
+		if c.Classes[i].Bulk != NoBulk {
+			return true
+		}
+	}
+	for _, s := range c.Services {
+		if s.WarmupRate > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,10 +30,15 @@
 	Backend  Backend
 	Stop     Stop
 	Retries  Retries
-	Limits   Limits
-	Log      Log
-	Timeline Timeline
-	Profile  Profile
+	Warmup   Warmup
+	// EvacuationTime is the time within which the servers of an evacuated failure domain stop to get requests.
+	EvacuationTime time.Duration
+	// HedgingShare is the maximum ratio of hedged attempts to requests, for each service. Zero disables hedging.
+	HedgingShare float64
+	Limits       Limits
+	Log          Log
+	Timeline     Timeline
+	Profile      Profile
 }
 
 // Platform is the address of the platform's store, and the timeout of calls to it.
@@ -74,6 +79,13 @@
 	Window time.Duration
 }
 
+// Warmup bounds the requests that a cold backend server gets within one second: Overage times its warm-up rate, and
+// Slack.
+type Warmup struct {
+	Overage float64
+	Slack   float64
+}
+
 // Limits configures the resource limits of a daemon.
 type Limits struct {
 	// MemoryMB is the memory limit of the process in megabytes. Zero means that the limit is unknown.
@@ -192,7 +204,13 @@
 			Slack:  d.float("retries.slack", defaultRetrySlack, 0, 1<<20),
 			Window: d.duration("retries.window", ptr(defaultRetryWindow), time.Millisecond, time.Hour),
 		},
-		Limits: Limits{MemoryMB: int(d.integer("limits.memory_mb", ptr[int64](0), 0, 1<<20))},
+		Warmup: Warmup{
+			Overage: d.float("warmup.overage", defaultWarmupOverage, 1, 100),
+			Slack:   d.float("warmup.slack", defaultWarmupSlack, 0, 1<<20),
+		},
+		EvacuationTime: d.duration("evacuation.time", ptr(defaultEvacuationTime), time.Second, time.Hour),
+		HedgingShare:   d.float("hedging.share", 0, 0, 1),
+		Limits:         Limits{MemoryMB: int(d.integer("limits.memory_mb", ptr[int64](0), 0, 1<<20))},
 		Log: Log{
 			Level:          d.choice("log.level", "info", "trace", "debug", "info", "warn", "error"),
 			Format:         d.choice("log.format", "json", "text", "json"),
@@ -220,6 +238,10 @@
 	defaultRetryRatio  = 0.2
 	defaultRetrySlack  = 60
 	defaultRetryWindow = 10 * time.Second
+	// The following defaults are the values in the contract for deployments with evacuation and cold servers.
+	defaultWarmupOverage  = 1.5
+	defaultWarmupSlack    = 8
+	defaultEvacuationTime = 5 * time.Second
 	// defaultLogLinesPerSecond is about one line per request in a small deployment.
 	defaultLogLinesPerSecond = 100
 	// defaultTimelineEvents needs about 100 kB of memory.
