feat(admission): a call may be queued for a maximum wait only

A call that waits in the queue of one server until its deadline leaves no time to try another one.

Controller.AcquireWithin rejects a call at once if its class is not expected to start within the bound, and drops it from the queue after the bound. The hop header Skylark-Hop-Max-Wait-Us carries the bound, and the new reason wait_exceeded the rejection. Without a bound nothing changes.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -26,6 +26,9 @@
 	// Canceled means that the caller disconnected, or that the channel passed to Acquire was closed, while the call was
 	// queued.
 	Canceled // withdrawn
+	// WaitExceeded means that the call was or would have been queued for longer than its maximum wait. Another server may
+	// start it sooner.
+	WaitExceeded // wait_exceeded
 )
 
 // RejectedError reports a call that was rejected. The call has not run.
@@ -117,20 +120,31 @@
 // returns a RejectedError if the call is rejected, if ctx is canceled, or if the channel canceled is closed.
 func (c *Controller) Acquire(ctx context.Context, callClass *class.Class, deadline time.Time,
 	canceled <-chan struct{},
+) (*Ticket, error) {
+	return c.AcquireWithin(ctx, callClass, deadline, 0, canceled)
+}
+
+// AcquireWithin is like Acquire, but rejects the call at once if it is not expected to start within maxWait, and drops it
+// from the queue once it has waited for that time. Zero is no bound.
+func (c *Controller) AcquireWithin(ctx context.Context, callClass *class.Class, deadline time.Time,
+	maxWait time.Duration, canceled <-chan struct{},
 ) (*Ticket, error) {
 	admitted := make(chan bool, 1)
-	job, wait := c.offer(callClass, deadline, admitted)
+	job, rejected := c.offer(callClass, deadline, maxWait, admitted)
 	if job == nil {
-		return nil, &RejectedError{Class: callClass.Name, Reason: NoCapacity, RetryAfter: wait}
+		return nil, rejected
 	}
 	select {
 	case isAdmitted := <-admitted:
 		return c.newTicket(job, isAdmitted)
 	default:
 	}
-	timer := c.clock.NewTimer(deadline.Sub(job.Arrived) - rejectionMargin)
+	reason, limit := Expired, deadline.Sub(job.Arrived)-rejectionMargin
+	if maxWait > 0 && maxWait < limit {
+		reason, limit = WaitExceeded, maxWait
+	}
+	timer := c.clock.NewTimer(limit)
 	defer timer.Stop()
-	reason := Expired
 	select {
 	case isAdmitted := <-admitted:
 		return c.newTicket(job, isAdmitted)
@@ -170,7 +184,9 @@
 	return 1
 }
 
-func (c *Controller) offer(callClass *class.Class, deadline time.Time, admitted chan bool) (*Job, time.Duration) {
+// offer queues a call, or returns the error that rejects it.
+func (c *Controller) offer(callClass *class.Class, deadline time.Time, maxWait time.Duration, admitted chan bool,
+) (*Job, *RejectedError) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
@@ -178,16 +194,22 @@
 	job := &Job{ID: c.nextID, Class: callClass.Name, Arrived: now, Deadline: deadline, Data: admitted}
 	c.policy.UpdateClass(now, callClass)
 	if delay := c.rate.delay(now, 1); delay > 0 && now.Add(delay).After(deadline.Add(-rejectionMargin)) {
-		return nil, delay
+		return nil, &RejectedError{Class: job.Class, Reason: NoCapacity, RetryAfter: delay}
+	}
+	if maxWait > 0 {
+		if wait := c.expectedWait(now, job.Class); wait > maxWait {
+			return nil, &RejectedError{Class: job.Class, Reason: WaitExceeded, RetryAfter: wait - maxWait}
+		}
 	}
 	if !c.policy.Offer(now, job) {
-		if job.RetryAfter > 0 {
-			return nil, job.RetryAfter
+		rejected := &RejectedError{Class: job.Class, Reason: NoCapacity, RetryAfter: job.RetryAfter}
+		if rejected.RetryAfter <= 0 {
+			rejected.RetryAfter = c.estimatedWait()
 		}
-		return nil, c.estimatedWait()
+		return nil, rejected
 	}
 	c.dispatch()
-	return job, 0
+	return job, nil
 }
 
 // estimatedWait returns how long a new call is expected to be queued.
--- a/admission/rejectreason_string.go
+++ b/admission/rejectreason_string.go
@@ -11,11 +11,12 @@
 	_ = x[NoCapacity-0]
 	_ = x[Expired-1]
 	_ = x[Canceled-2]
+	_ = x[WaitExceeded-3]
 }
 
-const _RejectReason_name = "crowdedexpiredwithdrawn"
+const _RejectReason_name = "crowdedexpiredwithdrawnwait_exceeded"
 
-var _RejectReason_index = [...]uint8{0, 7, 14, 23}
+var _RejectReason_index = [...]uint8{0, 7, 14, 23, 36}
 
 func (i RejectReason) String() string {
 	idx := int(i) - 0
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -259,7 +259,7 @@
 			}
 			return call.NotRun(call.NotOwner)
 		}
-		ticket, err := r.controller.Acquire(ctx, c.Class, c.Deadline, permit.replaced)
+		ticket, err := r.controller.AcquireWithin(ctx, c.Class, c.Deadline, maxWait(c, now, r.clock.Now()), permit.replaced)
 		if err == nil && !isIsolated && r.quarantineVerdict(c).IsSuspected {
 			ticket.Cancel()
 			continue
@@ -275,6 +275,18 @@
 	}
 }
 
+// minMaxWait is the bound of a call that has used up its maximum wait before it reached admission control. Zero would be
+// no bound.
+const minMaxWait = time.Microsecond
+
+// maxWait returns how much of its maximum wait is left to a call that arrived at the given time, or zero if it has none.
+func maxWait(c call.Call, arrived, now time.Time) time.Duration {
+	if c.MaxWait <= 0 {
+		return 0
+	}
+	return max(minMaxWait, c.MaxWait-now.Sub(arrived))
+}
+
 // keyWaitShare is the share of its remaining time that a call waits for the server to hold its key.
 const keyWaitShare = 0.3
 
@@ -315,6 +327,10 @@
 		result := call.NotRun(call.Late)
 		result.RetryAfter = rejected.RetryAfter
 		return result, true
+	case admission.WaitExceeded:
+		result := call.NotRun(call.WaitExceeded)
+		result.RetryAfter = rejected.RetryAfter
+		return result, true
 	case admission.Canceled:
 		if ctx.Err() == nil {
 			return call.Result{}, false
@@ -330,7 +346,9 @@
 // recordRejection adds a call that admission control rejected to the demand.
 func (r *Runner) recordRejection(c call.Call, err error) {
 	var rejected *admission.RejectedError
-	if errors.As(err, &rejected) && rejected.Reason != admission.Canceled {
+	isDemand := errors.As(err, &rejected) && rejected.Reason != admission.Canceled &&
+		rejected.Reason != admission.WaitExceeded // another server runs the call
+	if isDemand {
 		r.addDemand(c, time.Duration(rejectedWeight*float64(r.controller.ServiceTime(c.Class.Name))))
 	}
 }
--- a/call/call.go
+++ b/call/call.go
@@ -66,6 +66,9 @@
 	Overload // overload
 	// Late means that too little time remained before the deadline to start the call.
 	Late // late
+	// WaitExceeded means that the call could not start at this server within its maximum wait. Another server may have
+	// capacity for it.
+	WaitExceeded // wait_exceeded
 	// Refused means that the backend server rejected the call before it started it.
 	Refused // refused
 	// Shed means that the backend server rejected the call before it started it, because it was overloaded.
@@ -86,7 +89,7 @@
 )
 
 // IsAdmissionRejection reports whether the admission control of a server rejected the call.
-func (r Reason) IsAdmissionRejection() bool { return r == Overload || r == Late }
+func (r Reason) IsAdmissionRejection() bool { return r == Overload || r == Late || r == WaitExceeded }
 
 // ParseReason parses the text of a reason. It returns AnswerLost for an unknown text, because that does not claim that
 // the call did not run.
--- a/call/reason_string.go
+++ b/call/reason_string.go
@@ -18,19 +18,20 @@
 	_ = x[NotOwner-7]
 	_ = x[Overload-8]
 	_ = x[Late-9]
-	_ = x[Refused-10]
-	_ = x[Shed-11]
-	_ = x[Quarantined-12]
-	_ = x[Unreachable-13]
-	_ = x[AnswerLost-14]
-	_ = x[ServerEnded-15]
-	_ = x[TimedOut-16]
-	_ = x[CallerGone-17]
+	_ = x[WaitExceeded-10]
+	_ = x[Refused-11]
+	_ = x[Shed-12]
+	_ = x[Quarantined-13]
+	_ = x[Unreachable-14]
+	_ = x[AnswerLost-15]
+	_ = x[ServerEnded-16]
+	_ = x[TimedOut-17]
+	_ = x[CallerGone-18]
 }
 
-const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredclosingno_servernot_owneroverloadlaterefusedshedquarantinedunreachableanswer_lostserver_endedtimed_outcaller_gone"
+const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredclosingno_servernot_owneroverloadlatewait_exceededrefusedshedquarantinedunreachableanswer_lostserver_endedtimed_outcaller_gone"
 
-var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 58, 67, 76, 84, 88, 95, 99, 110, 121, 132, 144, 153, 164}
+var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 58, 67, 76, 84, 88, 101, 108, 112, 123, 134, 145, 157, 166, 177}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -40,6 +40,8 @@
 	targetHeader = "Skylark-Hop-To"
 	// suspectHeader marks a call during which a backend server ended.
 	suspectHeader = "Skylark-Hop-Suspected"
+	// maxWaitHeader is how long a call may be queued at the backend server, in microseconds. Without it there is no bound.
+	maxWaitHeader = "Skylark-Hop-Max-Wait-Us"
 	// sentHeader is when a call was sent, by the sender's boot clock. See delayMeter.
 	sentHeader = "Skylark-Hop-Sent"
 )
@@ -219,6 +221,9 @@
 	if c.IsSuspected {
 		header.Set(suspectHeader, "1")
 	}
+	if c.MaxWait > 0 {
+		header.Set(maxWaitHeader, strconv.FormatInt(max(1, c.MaxWait.Microseconds()), 10))
+	}
 	if c.HasKey {
 		header.Set(keyHeader, strconv.Itoa(int(c.Key)))
 	}
@@ -346,6 +351,13 @@
 		return c, delay, err
 	}
 	c.IsSuspected = r.Header.Get(suspectHeader) != ""
+	if text := r.Header.Get(maxWaitHeader); text != "" {
+		us, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || us <= 0 {
+			return c, delay, &MessageError{Part: maxWaitHeader, Cause: "invalid value " + strconv.Quote(text)}
+		}
+		c.MaxWait = time.Duration(us) * time.Microsecond
+	}
 	if text := r.Header.Get(keyHeader); text != "" {
 		key, err := strconv.ParseUint(text, 10, 16)
 		if err != nil {
--- a/peer/hop_test.go
+++ b/peer/hop_test.go
@@ -116,6 +116,21 @@
 	g.Expect(result.RetryAfter).To(gomega.Equal(30 * time.Millisecond))
 }
 
+// TestMaxWaitIsForwarded guards against offers whose bound is lost on the way, and against a bound for calls without one.
+func TestMaxWaitIsForwarded(t *testing.T) {
+	for _, maxWait := range []time.Duration{0, time.Microsecond, 75 * time.Millisecond} {
+		g := gomega.NewWithT(t)
+		exceeded := call.NotRun(call.WaitExceeded)
+		exceeded.Load = &call.Load{Running: 6, Waiting: 1, Concurrency: 6, QueueDelay: 40 * time.Millisecond}
+		runner := &recordingRunner{result: exceeded}
+		result := forward(t, runner, "h", func(c *call.Call) { c.MaxWait = maxWait })
+		g.Expect(runner.calls[0].MaxWait).To(gomega.Equal(maxWait))
+		g.Expect(result.Outcome).To(gomega.Equal(class.NotRun))
+		g.Expect(result.Reason).To(gomega.Equal(call.WaitExceeded))
+		g.Expect(result.Load).To(gomega.Equal(exceeded.Load))
+	}
+}
+
 // TestCallsForAnotherHost covers an address that was reassigned from a lost host to a new host of another service.
 func TestCallsForAnotherHost(t *testing.T) {
 	for name, c := range map[string]struct {
