feat(caller): calls without a key are offered with a bounded wait

In load-aware configurations a call without a key is offered to up to four servers: twice with a bound of a tenth of the latency target's slack, then within the latency target, then before the deadline. When a class is rejected by nearly all servers, the budget leaves one offer per call, and after four rejections in a row the entry daemon rejects calls itself for a quarter of the stated Retry-After, except for probes and nested calls.

Other configurations and calls with a key are offered as before.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -50,6 +50,8 @@
 	balancer     *balancer
 	budget       *Budget
 	offers       *offerBudget
+	bounded      *boundedOffers
+	onOffer      func(Offer)
 	leaving      leavingServers
 	quarantine   *quarantine.List
 	onUnanswered func(Attempt)
@@ -68,6 +70,8 @@
 		balancer:     newBalancer(domain, clock, rand.New(rand.NewPCG(seed, 1))),
 		budget:       budget,
 		offers:       newOfferBudget(),
+		bounded:      newBoundedOffers(clock),
+		onOffer:      func(Offer) {},
 		quarantine:   quarantine.NewList(clock),
 		leaving:      leavingServers{clock: clock, since: map[ownership.HostID]leavingServer{}},
 		onUnanswered: onUnanswered,
@@ -87,6 +91,7 @@
 func (r *Relay) PruneServers(routes Routes) {
 	r.balancer.prune(routes)
 	r.leaving.prune(routes)
+	r.bounded.prune(routes)
 }
 
 // callState is the state of one call across its attempts.
@@ -104,6 +109,12 @@
 	refusedBy    ownership.HostID
 	refusedFence ownership.Fence
 	refusals     int
+	// arrived is when the relay got the call, and bound the bound of its current offer, if its offers are bounded.
+	arrived time.Time
+	bound   offerBound
+	// deferredHosts are the hosts of triedHosts whose server could not start the call within a short bound.
+	deferredHosts   []ownership.HostID
+	hasOnlyDeferred bool
 	// rejections is the number of servers whose admission control rejected the call, and retryAfter the shortest of the
 	// times after which they expect capacity, or zero if none of them said.
 	rejections int
@@ -118,14 +129,22 @@
 	now := r.clock.Now()
 	state := &callState{
 		call:       c,
+		arrived:    now,
 		triedHosts: map[ownership.HostID]bool{},
 		waitUntil:  now.Add(time.Duration(routeWaitShare * float64(c.Deadline.Sub(now)))),
 		lastResult: call.NotRun(call.NoServer),
 	}
 	r.budget.RecordCall(c.Service)
+	if r.isRejectedAtEntry(state) {
+		return state.lastResult
+	}
 	for {
 		route, changed := r.table.Lookup(c.Service)
+		r.planOffer(route, state)
 		target := r.selectServer(route, state)
+		if target == nil && state.deferOnly() {
+			continue
+		}
 		if target == nil {
 			if !r.canWaitForOwner(route, state) || !r.waitForRoutes(ctx, state, changed, untilChanged) {
 				return r.finalResult(ctx, state)
@@ -239,11 +258,12 @@
 	state.mayHaveRun = state.mayHaveRun || result.Outcome == class.Unknown
 	state.call.IsSuspected = state.call.IsSuspected || result.Reason == call.ServerEnded
 	if isRejection(result) {
-		state.recordRejection(result.RetryAfter)
+		state.recordRejection(state.bound.statedRetryAfter(result))
 	} else if result.Outcome != class.NotRun {
 		r.offers.recordAccepted(state.call.Service)
 	}
-	if result.Outcome != class.Answered {
+	r.recordOffer(target, state, r.clock.Since(start))
+	if result.Outcome != class.Answered && result.Reason != call.WaitExceeded {
 		r.onUnanswered(Attempt{Call: state.call, Host: target.Host, Result: result, Duration: r.clock.Since(start)})
 	}
 }
@@ -306,7 +326,10 @@
 			return retryNow
 		}
 		return finishCall
-	case call.Overload, call.Late:
+	case call.Overload, call.Late, call.WaitExceeded:
+		if state.bound.number > 0 {
+			return r.chooseActionRejected(state)
+		}
 		isUseful := !state.call.HasKey && state.rejections < maxRejections && r.hasTimeToRetry(state)
 		if isUseful && r.offers.spend(state.call.Service) {
 			return retryNow
@@ -356,9 +379,12 @@
 	if state.mayHaveRun {
 		return call.Unknown(call.AnswerLost)
 	}
-	if isRejection(result) {
+	if isRejection(result) && state.retryAfter > 0 {
 		result.RetryAfter = state.retryAfter
 	}
+	if result.Reason == call.WaitExceeded {
+		result.Reason = call.Overload // no server had capacity for the call
+	}
 	if ctx.Err() != nil {
 		result.Reason = call.EndReason(ctx)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -116,6 +116,7 @@
 	relay := caller.NewRelay(s.FailureDomain, table, sender{self: s.Host, runner: d.runner, hops: d.hops}, budget,
 		d.observer.attemptFailed, o.Clock, seed)
 	relay.HoldBack(d.quarantine)
+	relay.ObserveOffers(newOfferObserver(d.observer).offered)
 	relay.AvoidLeavingServers(platform.Headers().Leaving, usableDrainTime(s.Backend.DrainTime))
 	d.callerHandler = caller.NewHandler(relay, s.Service, platform.Headers(), d.observer.callFinished, o.Clock)
 	d.callerHandler.LimitMemory(d.bodyMemory)
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -205,6 +205,7 @@
 func (c *control) applyConfig(config *class.Config) {
 	c.config = config
 	c.daemon.callerHandler.SetConfig(config)
+	c.relay.SetLoadAware(config.IsLoadAware())
 	c.daemon.callerServer.setLimits(config.Limits)
 	c.observer.configApplied(config.Version)
 	c.readRecordIfDue()
