feat(dependency): nested classes go ahead of others of their rank

Within a rank, classes were ordered by name, so booking-check waited behind room-confirm or not depending on how they are called. The daemon beside a server now infers from the origins of calls which classes only servers of one other service call. With a load-aware configuration these come first within their rank, then classes with the shorter latency target. Hops state the inference in both directions. The daemon's type for logs about external systems is renamed, since the new package is called dependency.

--- a/admission/target_policy.go
+++ b/admission/target_policy.go
@@ -50,7 +50,9 @@
 // classState is the state that TargetPolicy holds for one class.
 type classState struct {
 	class class.Class
-	queue *queue
+	// isNested reports whether backend servers make the calls of the class while they run other calls.
+	isNested bool
+	queue    *queue
 	// lateQueue holds the jobs that can no longer meet the latency target but can still meet their deadline.
 	lateQueue   *queue
 	serviceTime time.Duration
@@ -89,6 +91,8 @@
 	// saturated reports whether the offered load exceeded the capacity. A job that misses its target then takes
 	// capacity from one that would meet it.
 	saturated bool
+	// isLoadAware selects the order of compareLoadAware for classes of the same rank.
+	isLoadAware bool
 }
 
 // NewTargetPolicy returns a policy for a server that runs the given number of jobs at a time.
@@ -154,10 +158,21 @@
 			t.byRank = append(t.byRank, s)
 		}
 	}
+	t.sortClasses()
+	t.setGuarantees()
+}
+
+// sortClasses orders the classes by rank.
+func (t *TargetPolicy) sortClasses() {
 	slices.SortStableFunc(t.byRank, func(a, b *classState) int {
-		return cmp.Or(cmp.Compare(a.class.Rank, b.class.Rank), cmp.Compare(a.class.Name, b.class.Name))
+		if order := cmp.Compare(a.class.Rank, b.class.Rank); order != 0 {
+			return order
+		}
+		if t.isLoadAware {
+			return compareLoadAware(a, b)
+		}
+		return cmp.Compare(a.class.Name, b.class.Name)
 	})
-	t.setGuarantees()
 }
 
 // defaultSuccess is the success target of a class for which none is configured.
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/dependency"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/quarantine"
@@ -77,8 +78,10 @@
 	isAssigned     AssignmentCheck
 	noticeObserver NoticeObserver
 	quarantine     *quarantine.List
-	host           ownership.HostID
-	onReport       CrashObserver
+	// nesting is nil if nested calls are treated like others.
+	nesting  *dependency.Tracker
+	host     ownership.HostID
+	onReport CrashObserver
 	// isolation holds a value while a suspected call runs.
 	isolation chan struct{}
 
@@ -218,7 +221,9 @@
 // Run admits a call and sends it to the server. The result carries the load, and a RetryAfter if the call did not run.
 func (r *Runner) Run(ctx context.Context, c call.Call) call.Result {
 	arrived := r.clock.Now()
+	c.IsNested = r.observeArrival(c)
 	result := r.admit(ctx, c)
+	result.IsNested = c.IsNested
 	if result.Outcome == class.NotRun && result.Reason == call.CallerGone {
 		r.onAbandoned(AbandonedCall{Call: c, Waited: r.clock.Since(arrived)})
 	}
--- a/call/call.go
+++ b/call/call.go
@@ -123,6 +123,8 @@
 	Load *Load
 	// Notice is what the backend server stated about itself, or nil if it sent no response.
 	Notice *Notice
+	// IsNested reports whether the daemon beside the backend server knows the call's class as nested.
+	IsNested bool
 	// IsDisconnected reports whether the backend server closed the connection without a complete response.
 	IsDisconnected bool
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/dependency"
 	"github.com/skylarkrelay/skylarkrelay/link"
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
@@ -57,6 +58,7 @@
 	callerHandler *caller.Handler
 	runner        *backend.Runner
 	quarantine    *quarantine.List
+	nesting       *dependency.Tracker
 	hops          *peer.HopClient
 	callerServer  *limitedServer
 	lingerer      *lingerer
@@ -100,6 +102,8 @@
 	})
 	d.runner.ObserveAbandoned(d.observer.callAbandoned)
 	d.runner.Quarantine(d.quarantine, s.Host, d.crashReported)
+	d.nesting = dependency.NewTracker(s.Service, d.observer.nestingObserver(), o.Clock)
+	d.runner.FollowNesting(d.nesting)
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock, o.BootClock)
 	d.hops.LimitMemory(d.bodyMemory)
 	table := caller.NewTable()
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -206,6 +206,7 @@
 	c.config = config
 	c.daemon.callerHandler.SetConfig(config)
 	c.daemon.callerServer.setLimits(config.Limits)
+	c.runner.SetLoadAware(config.IsLoadAware())
 	c.observer.configApplied(config.Version)
 	c.readRecordIfDue()
 }
--- a/daemon/fallback.go
+++ b/daemon/fallback.go
@@ -23,7 +23,7 @@
 	direct  store.EraStore
 	viaPeer func(address string) store.Store
 	peers   func() []string
-	health  dependency
+	health  externalSystem
 	clock   clockwork.Clock
 
 	mu sync.Mutex
@@ -33,7 +33,7 @@
 }
 
 func newFallbackStore(
-	direct store.EraStore, viaPeer func(string) store.Store, peers func() []string, health dependency, clock clockwork.Clock,
+	direct store.EraStore, viaPeer func(string) store.Store, peers func() []string, health externalSystem, clock clockwork.Clock,
 ) *fallbackStore {
 	return &fallbackStore{direct: direct, viaPeer: viaPeer, peers: peers, health: health, clock: clock}
 }
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -279,23 +279,23 @@
 	})
 }
 
-// dependency logs when an external system that this process depends on is lost and regained.
-type dependency struct {
+// externalSystem logs when an external system that this process depends on is lost and regained.
+type externalSystem struct {
 	name  string
 	log   hclog.Logger
-	state *dependencyState
+	state *externalSystemState
 }
 
-type dependencyState struct {
+type externalSystemState struct {
 	mu     sync.Mutex
 	isDown bool
 }
 
-func (o *observer) dependency(name string) dependency {
-	return dependency{name: name, log: o.log, state: &dependencyState{}}
+func (o *observer) dependency(name string) externalSystem {
+	return externalSystem{name: name, log: o.log, state: &externalSystemState{}}
 }
 
-func (d dependency) set(isUp bool, err error) {
+func (d externalSystem) set(isUp bool, err error) {
 	d.state.mu.Lock()
 	defer d.state.mu.Unlock()
 	if d.state.isDown == !isUp {
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -40,6 +40,8 @@
 	targetHeader = "Skylark-Hop-To"
 	// suspectHeader marks a call during which a backend server ended.
 	suspectHeader = "Skylark-Hop-Suspected"
+	// nestedHeader marks a call, or the response to a call, whose class the sender knows as nested.
+	nestedHeader = "Skylark-Hop-Nested"
 	// sentHeader is when a call was sent, by the sender's boot clock. See delayMeter.
 	sentHeader = "Skylark-Hop-Sent"
 )
@@ -219,6 +221,9 @@
 	if c.IsSuspected {
 		header.Set(suspectHeader, "1")
 	}
+	if c.IsNested {
+		header.Set(nestedHeader, "1")
+	}
 	if c.HasKey {
 		header.Set(keyHeader, strconv.Itoa(int(c.Key)))
 	}
@@ -245,6 +250,7 @@
 		result.RetryAfter = time.Duration(us) * time.Microsecond
 	}
 	result.Load = parseLoad(r.Header.Get(loadHeader))
+	result.IsNested = r.Header.Get(nestedHeader) != ""
 	call.StripHopByHop(r.Header)
 	call.StripDaemonHeaders(r.Header)
 	result.Header = r.Header
@@ -346,6 +352,7 @@
 		return c, delay, err
 	}
 	c.IsSuspected = r.Header.Get(suspectHeader) != ""
+	c.IsNested = r.Header.Get(nestedHeader) != ""
 	if text := r.Header.Get(keyHeader); text != "" {
 		key, err := strconv.ParseUint(text, 10, 16)
 		if err != nil {
@@ -385,6 +392,9 @@
 	if result.Load != nil {
 		header.Set(loadHeader, formatLoad(*result.Load))
 	}
+	if result.IsNested {
+		header.Set(nestedHeader, "1")
+	}
 	header.Set("Content-Length", strconv.Itoa(len(result.Body)))
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // prevents net/http from detecting a content type
--- a/peer/hop_test.go
+++ b/peer/hop_test.go
@@ -106,6 +106,18 @@
 	g.Expect(c.Origin).To(gomega.Equal(class.Service("front")))
 }
 
+// TestNestingIsStated guards against daemons that do not tell each other which classes are nested.
+func TestNestingIsStated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, isNested := range []bool{false, true} {
+		runner := &recordingRunner{result: call.NotRun(call.Overload)}
+		runner.result.IsNested = isNested
+		result := forward(t, runner, "h", func(c *call.Call) { c.IsNested = isNested })
+		g.Expect(runner.calls[0].IsNested).To(gomega.Equal(isNested))
+		g.Expect(result.IsNested).To(gomega.Equal(isNested))
+	}
+}
+
 func TestRejectionsAreReturned(t *testing.T) {
 	g := gomega.NewWithT(t)
 	overloaded := call.NotRun(call.Overload)
