--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -207,6 +207,7 @@
 	c.daemon.callerHandler.SetConfig(config)
 	c.relay.SetLoadAware(config.IsLoadAware())
 	c.daemon.callerServer.setLimits(config.Limits)
+	c.runner.SetLoadAware(config.IsLoadAware())
 	c.observer.configApplied(config.Version)
 	c.readRecordIfDue()
 }
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -42,6 +42,8 @@
 	suspectHeader = "Skylark-Hop-Suspected"
 	// maxWaitHeader is how long a call may be queued at the backend server, in microseconds. Without it there is no bound.
 	maxWaitHeader = "Skylark-Hop-Max-Wait-Us"
+	// nestedHeader marks a call, or the response to a call, whose class the sender knows as nested.
+	nestedHeader = "Skylark-Hop-Nested"
 	// sentHeader is when a call was sent, by the sender's boot clock. See delayMeter.
 	sentHeader = "Skylark-Hop-Sent"
 )
@@ -224,6 +226,9 @@
 	if c.MaxWait > 0 {
 		header.Set(maxWaitHeader, strconv.FormatInt(max(1, c.MaxWait.Microseconds()), 10))
 	}
+	if c.IsNested {
+		header.Set(nestedHeader, "1")
+	}
 	if c.HasKey {
 		header.Set(keyHeader, strconv.Itoa(int(c.Key)))
 	}
@@ -250,6 +255,7 @@
 		result.RetryAfter = time.Duration(us) * time.Microsecond
 	}
 	result.Load = parseLoad(r.Header.Get(loadHeader))
+	result.IsNested = r.Header.Get(nestedHeader) != ""
 	call.StripHopByHop(r.Header)
 	call.StripDaemonHeaders(r.Header)
 	result.Header = r.Header
@@ -358,6 +364,7 @@
 		}
 		c.MaxWait = time.Duration(us) * time.Microsecond
 	}
+	c.IsNested = r.Header.Get(nestedHeader) != ""
 	if text := r.Header.Get(keyHeader); text != "" {
 		key, err := strconv.ParseUint(text, 10, 16)
 		if err != nil {
@@ -397,6 +404,9 @@
 	if result.Load != nil {
 		header.Set(loadHeader, formatLoad(*result.Load))
 	}
+	if result.IsNested {
+		header.Set(nestedHeader, "1")
+	}
 	header.Set("Content-Length", strconv.Itoa(len(result.Body)))
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // prevents net/http from detecting a content type
