feat(dependency): runs whose nested calls fail are rejected before they start

A host now learns from responses which nested classes its server calls, from the runs in progress when these enter which classes make them, and how they end. If a run is more likely to be thrown away than not, or if over one in ten is lost for some seconds, new runs are rejected as not run (reason dependency), not tried elsewhere, and a share is admitted that follows the capacity of the called service.

--- a/backend/nesting.go
+++ b/backend/nesting.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"time"
+
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/dependency"
 )
@@ -16,15 +18,33 @@
 	}
 }
 
-// observeArrival records the arrival of a call and reports whether its class is nested. Admission control learns of
-// changes before the call is queued.
+// observeArrival records the arrival of a call and reports whether this host has inferred that its class is nested.
+// Admission control learns of changes before the call is queued.
 func (r *Runner) observeArrival(c call.Call) bool {
 	if r.nesting == nil {
 		return false
 	}
-	isNested, isChanged := r.nesting.CallArrived(c.Class.Name, c.Origin, c.IsNested)
-	if isChanged {
-		r.controller.SetNested(c.Class, isNested)
+	arrival := r.nesting.CallArrived(c.Class.Name, c.Origin, c.IsNested)
+	if arrival.IsChanged {
+		r.controller.SetNested(c.Class, arrival.IsNested)
+	}
+	return arrival.IsInferred
+}
+
+// runRejection returns zero if a call may run, and otherwise the time after which the calls that it would make are expected
+// to find capacity.
+func (r *Runner) runRejection(c call.Call) time.Duration {
+	if r.nesting == nil {
+		return 0
+	}
+	return r.nesting.AdmitRun(c.Class.Name)
+}
+
+// observeRun records that a call runs on the server, until the returned function is called.
+func (r *Runner) observeRun(c call.Call) (endRun func()) {
+	if r.nesting == nil {
+		return func() {}
 	}
-	return isNested
+	r.nesting.RunBegan(c.Class.Name)
+	return func() { r.nesting.RunEnded(c.Class.Name) }
 }
--- a/backend/nesting_test.go
+++ b/backend/nesting_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/onsi/gomega"
 
+	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/dependency"
 )
@@ -25,7 +26,7 @@
 	var changes []bool
 	r.FollowNesting(dependency.NewTracker("r", dependency.Observer{
 		NestedChanged: func(_ class.Name, _ class.Service, isNested bool) { changes = append(changes, isNested) },
-	}, clockwork.NewRealClock()))
+	}, clockwork.NewRealClock(), 1))
 	run := func(name class.Name, origin class.Service) bool {
 		c := newCall(time.Second)
 		c.Class = &class.Class{Name: name, Latency: time.Second}
@@ -48,3 +49,42 @@
 	g.Expect(run("check", "r")).To(gomega.BeFalse())
 	g.Expect(changes).To(gomega.Equal([]bool{true, false}))
 }
+
+// TestRunsWhoseNestedCallsFailAreRejected guards against runs that begin although their nested calls would fail, and against
+// rejections of other classes. The rejected runs must not reach the server.
+func TestRunsWhoseNestedCallsFailAreRejected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	requests := 0
+	tracker := dependency.NewTracker("p", dependency.Observer{
+		NestedChanged:    func(class.Name, class.Service, bool) {},
+		RejectionChanged: func(dependency.Rejection) {},
+		RunRejected:      func(class.Name) {},
+	}, clockwork.NewRealClock(), 1)
+	address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		requests++
+		if r.URL.Path == "/x" {
+			tracker.CallEntered("check")
+			tracker.CallEnded("check", true, true, dependency.Outcome{HasFailed: true, RetryAfter: time.Second})
+		}
+		w.Header().Set(headerNames.RequestID, "id-1")
+		w.Header().Set(headerNames.Signature, "s")
+	})
+	r, _ := newRunner(address, unchanged)
+	r.FollowNesting(tracker)
+	r.SetLoadAware(true)
+	results := map[class.Outcome]int{}
+	for range 100 {
+		result := r.Run(context.Background(), newCall(time.Second))
+		results[result.Outcome]++
+		if result.Outcome == class.NotRun {
+			g.Expect(result.Reason).To(gomega.Equal(call.Dependency))
+			g.Expect(result.RetryAfter).To(gomega.And(
+				gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", 2*time.Second)), "spread over one to two seconds at most")
+		}
+		other := newCall(time.Second)
+		other.Class, other.URI = &class.Class{Name: "other", Latency: time.Second}, "/other"
+		g.Expect(r.Run(context.Background(), other).Outcome).To(gomega.Equal(class.Answered))
+	}
+	g.Expect(results[class.NotRun]).To(gomega.BeNumerically(">", 50))
+	g.Expect(requests).To(gomega.Equal(results[class.Answered] + 100))
+}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -221,9 +221,9 @@
 // Run admits a call and sends it to the server. The result carries the load, and a RetryAfter if the call did not run.
 func (r *Runner) Run(ctx context.Context, c call.Call) call.Result {
 	arrived := r.clock.Now()
-	c.IsNested = r.observeArrival(c)
+	isNested := r.observeArrival(c)
 	result := r.admit(ctx, c)
-	result.IsNested = c.IsNested
+	result.IsNested = isNested
 	if result.Outcome == class.NotRun && result.Reason == call.CallerGone {
 		r.onAbandoned(AbandonedCall{Call: c, Waited: r.clock.Since(arrived)})
 	}
@@ -239,7 +239,7 @@
 func (r *Runner) admit(ctx context.Context, c call.Call) call.Result {
 	now := r.clock.Now()
 	keyDeadline := now.Add(time.Duration(keyWaitShare * float64(c.Deadline.Sub(now))))
-	isIsolated := false
+	isIsolated, isRunAdmitted := false, false
 	for {
 		verdict := r.quarantineVerdict(c)
 		if !verdict.HeldUntil.IsZero() {
@@ -264,6 +264,14 @@
 			}
 			return call.NotRun(call.NotOwner)
 		}
+		if !isRunAdmitted {
+			if retryAfter := r.runRejection(c); retryAfter > 0 {
+				result := call.NotRun(call.Dependency)
+				result.RetryAfter = retryAfter
+				return result
+			}
+			isRunAdmitted = true
+		}
 		ticket, err := r.controller.AcquireWithin(ctx, c.Class, c.Deadline, maxWait(c, now, r.clock.Now()), permit.replaced)
 		if err == nil && !isIsolated && r.quarantineVerdict(c).IsSuspected {
 			ticket.Cancel()
@@ -369,7 +377,9 @@
 	ctx, cancel := clockwork.WithDeadline(ctx, r.clock, c.Deadline)
 	defer cancel()
 	r.running.Add(1)
+	endRun := r.observeRun(c)
 	result := permit.client.Do(ctx, c, permit.Instance)
+	endRun()
 	r.running.Add(-1)
 	r.observeNotice(permit, c, start, result)
 	switch {
--- a/call/call.go
+++ b/call/call.go
@@ -75,6 +75,8 @@
 	Shed // shed
 	// Quarantined means that the call is held back, because backend servers ended while they ran the same request.
 	Quarantined // quarantined
+	// Dependency means that the call was not started because the calls that it would make fail for lack of capacity.
+	Dependency // dependency
 	// Unreachable means that no connection to the next hop could be made, so nothing was sent.
 	Unreachable // unreachable
 	// AnswerLost means that the call was sent, at least in part, and no complete response that is known to come from a
--- a/call/reason_string.go
+++ b/call/reason_string.go
@@ -22,16 +22,17 @@
 	_ = x[Refused-11]
 	_ = x[Shed-12]
 	_ = x[Quarantined-13]
-	_ = x[Unreachable-14]
-	_ = x[AnswerLost-15]
-	_ = x[ServerEnded-16]
-	_ = x[TimedOut-17]
-	_ = x[CallerGone-18]
+	_ = x[Dependency-14]
+	_ = x[Unreachable-15]
+	_ = x[AnswerLost-16]
+	_ = x[ServerEnded-17]
+	_ = x[TimedOut-18]
+	_ = x[CallerGone-19]
 }
 
-const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredclosingno_servernot_owneroverloadlatewait_exceededrefusedshedquarantinedunreachableanswer_lostserver_endedtimed_outcaller_gone"
+const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredclosingno_servernot_owneroverloadlatewait_exceededrefusedshedquarantineddependencyunreachableanswer_lostserver_endedtimed_outcaller_gone"
 
-var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 58, 67, 76, 84, 88, 101, 108, 112, 123, 134, 145, 157, 166, 177}
+var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 58, 67, 76, 84, 88, 101, 108, 112, 123, 133, 144, 155, 167, 176, 187}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/dependency"
 	"github.com/skylarkrelay/skylarkrelay/link"
 )
 
@@ -43,6 +44,7 @@
 	onFinished  func(FinishedCall)
 	config      atomic.Pointer[Config]
 	memory      *link.Memory
+	nesting     *dependency.Tracker
 	isDraining  atomic.Bool
 	isRejecting atomic.Bool
 	active      atomic.Int64
@@ -98,7 +100,9 @@
 	case ok:
 		ctx, cancel := clockwork.WithDeadline(r.Context(), h.clock, c.Deadline)
 		stopWatching := link.OnReadAhead(ctx, func() { h.watchCaller(ctx, cancel) })
+		c.IsNested = h.enterNested(c)
 		result = h.relay.Do(ctx, c)
+		h.endNested(c, result, h.clock.Since(start))
 		stopWatching()
 		cancel()
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,7 +102,7 @@
 	})
 	d.runner.ObserveAbandoned(d.observer.callAbandoned)
 	d.runner.Quarantine(d.quarantine, s.Host, d.crashReported)
-	d.nesting = dependency.NewTracker(s.Service, d.observer.nestingObserver(), o.Clock)
+	d.nesting = dependency.NewTracker(s.Service, d.observer.nestingObserver(), o.Clock, seed)
 	d.runner.FollowNesting(d.nesting)
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock, o.BootClock)
 	d.hops.LimitMemory(d.bodyMemory)
@@ -124,6 +124,7 @@
 	relay.AvoidLeavingServers(platform.Headers().Leaving, usableDrainTime(s.Backend.DrainTime))
 	d.callerHandler = caller.NewHandler(relay, s.Service, platform.Headers(), d.observer.callFinished, o.Clock)
 	d.callerHandler.LimitMemory(d.bodyMemory)
+	d.callerHandler.FollowNesting(d.nesting)
 	d.callerServer = newLimitedServer(d.callerHandler, d.observer.httpErrorLog("caller"))
 	d.control = newControl(d, o, table, relay, budget, seed)
 	return d
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -49,6 +49,7 @@
 		Instance:      c.server.heartbeat.Instance.String(),
 		AuthorityMS:   c.machine.AuthorityUntil().Sub(now).Milliseconds(),
 		Calls:         c.runner.State(),
+		Rejections:    c.daemon.nesting.Rejections(),
 	}
 	if c.config != nil {
 		s.Config = c.config.Version
--- a/dependency/origins.go
+++ b/dependency/origins.go
@@ -44,9 +44,12 @@
 	return &Origins{service: service, classes: map[class.Name]*originStats{}}
 }
 
-// Observe records the arrival of a call and reports whether its class is nested. The call is declared as nested if the
-// daemon at which it entered knows the class as nested.
-func (o *Origins) Observe(now time.Time, name class.Name, origin class.Service, isDeclared bool) bool {
+// Observe records the arrival of a call. It reports whether the origins show that the class is nested, and whether it
+// counts as nested, which it also does if the daemons at which its calls entered declare them as nested and the origins do
+// not contradict.
+func (o *Origins) Observe(
+	now time.Time, name class.Name, origin class.Service, isDeclared bool,
+) (isInferred, isNested bool) {
 	s := o.classes[name]
 	if s == nil {
 		s = &originStats{seen: map[class.Service]time.Time{}}
@@ -62,22 +65,21 @@
 	} else {
 		s.calls++
 	}
-	return o.isNested(now, name, s)
+	if !s.hasOneOtherOrigin(o.service) {
+		return false, false
+	}
+	isInferred = s.calls >= minOriginCalls && o.othersHaveSeveralOrigins(now, name)
+	return isInferred, isInferred || !s.declaredAt.IsZero() && now.Sub(s.declaredAt) < declaredTime
 }
 
-// isNested reports whether a class is nested: its calls come from hosts of one other service, while those of other
-// classes come from several. A declaration replaces the evidence of this server, unless that contradicts it.
-func (o *Origins) isNested(now time.Time, name class.Name, s *originStats) bool {
-	_, isOwn := s.seen[o.service]
-	if len(s.seen) != 1 || isOwn {
-		return false
-	}
-	if !s.declaredAt.IsZero() && now.Sub(s.declaredAt) < declaredTime {
-		return true
-	}
-	return s.calls >= minOriginCalls && o.othersHaveSeveralOrigins(now, name)
+// hasOneOtherOrigin reports whether all calls came from hosts of one service other than the given one.
+func (s *originStats) hasOneOtherOrigin(own class.Service) bool {
+	_, isOwn := s.seen[own]
+	return len(s.seen) == 1 && !isOwn
 }
 
+// othersHaveSeveralOrigins reports whether the calls of another class come from hosts of several services. Otherwise all
+// callers may be at hosts of one service.
 func (o *Origins) othersHaveSeveralOrigins(now time.Time, name class.Name) bool {
 	for other, s := range o.classes {
 		if other == name {
--- a/dependency/origins_test.go
+++ b/dependency/origins_test.go
@@ -54,7 +54,7 @@
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			now = now.Add(wait)
 		case "nested":
-			isNested := origins.Observe(now, class.Name(fields[1]), class.Service(fields[2]), false)
+			_, isNested := origins.Observe(now, class.Name(fields[1]), class.Service(fields[2]), false)
 			g.Expect(strconv.FormatBool(isNested)).To(gomega.Equal(fields[3]), lines.Text())
 		default:
 			t.Fatalf("unknown line %q", lines.Text())
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -17,6 +17,7 @@
 
 	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/dependency"
 	"github.com/skylarkrelay/skylarkrelay/timeline"
 )
 
@@ -37,6 +38,8 @@
 	AuthorityMS   int64           `json:"authority_ms"`
 	Calls         admission.State `json:"calls"`
 	Hosts         []HostStatus    `json:"hosts"`
+	// Rejections are the classes whose runs are rejected because their nested calls fail.
+	Rejections []dependency.Rejection `json:"rejections,omitempty"`
 }
 
 // HostStatus is the state of one host as known to the daemon that reports it. IsUsable means that new calls may be
