--- a/dependency/mesh_test.go
+++ b/dependency/mesh_test.go
@@ -86,3 +86,21 @@
 	g.Expect(all.rejected).To(gomega.BeZero())
 	g.Expect(m.hosts[0].Rejections()).To(gomega.BeEmpty())
 }
+
+// TestRestartDuringAnOverload guards against daemons that learn nothing if they start in the middle of an overload, when
+// runs are in progress that they know nothing of.
+func TestRestartDuringAnOverload(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMesh(8, 2, true)
+	m.usable = 3
+	m.play(8 * time.Second)
+	for _, host := range m.hosts {
+		host.SetLoadAware(false)
+		host.SetLoadAware(true)
+	}
+	m.play(8 * time.Second)
+	after := m.total(12, 16)
+	t.Logf("from 4 s after it: %+v", after)
+	g.Expect(after.failed).To(gomega.BeNumerically("<", after.nested/10))
+	g.Expect(after.rejected).To(gomega.BeNumerically(">", after.arrived/3))
+}
