feat(admission): calls beyond the capacity are admitted by their latency target

After SetLoadAware(true), a call is queued if it is expected to meet its target. Otherwise it runs on capacity that is left within a target's time, or is rejected at once with a time of its own at which to return. Slots are kept free of less urgent calls while a more urgent class is refused more often. A class floods only if it grows more than the others.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -72,6 +72,11 @@
 	Capacity() float64
 }
 
+// runTracker is implemented by policies that follow the running jobs.
+type runTracker interface {
+	Ended(job *Job)
+}
+
 // NewController returns a controller for a server that runs the given number of calls at a time.
 func NewController(policy Policy, concurrency int, clock clockwork.Clock) *Controller {
 	return &Controller{clock: clock, policy: policy, limit: NewConcurrencyLimit(concurrency)}
@@ -253,6 +258,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running--
+	if p, ok := c.policy.(runTracker); ok {
+		p.Ended(t.job)
+	}
 	record(c.clock.Now())
 	c.updatePolicyConcurrency()
 	c.dispatch()
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -16,6 +16,8 @@
 	Class    class.Name
 	Arrived  time.Time
 	Deadline time.Time
+	// IsReturn reports whether the call returned after the Retry-After of an earlier rejection.
+	IsReturn bool
 	// RetryAfter may be set by a policy that rejects or drops the job. It is the time until capacity is expected to be
 	// free.
 	RetryAfter time.Duration
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -5,11 +5,14 @@
 	"time"
 )
 
-// queue is a priority queue of jobs, ordered by deadline. Removed jobs stay in the heap until they reach its top.
+// queue is a priority queue of jobs: those that returned after their Retry-After first, then by deadline. Removed jobs stay
+// in the heap until they reach its top.
 type queue struct {
 	jobs    deadlineHeap
 	removed map[*Job]bool
 	live    map[*Job]bool
+	// returned is the number of live jobs that returned after their Retry-After.
+	returned int
 }
 
 func newQueue() *queue {
@@ -19,6 +22,17 @@
 func (q *queue) push(job *Job) {
 	heap.Push(&q.jobs, job)
 	q.live[job] = true
+	if job.IsReturn {
+		q.returned++
+	}
+}
+
+// forget removes a job from the live ones.
+func (q *queue) forget(job *Job) {
+	delete(q.live, job)
+	if job.IsReturn {
+		q.returned--
+	}
 }
 
 // peek returns the job with the earliest deadline, or nil.
@@ -38,7 +52,7 @@
 	job := q.peek()
 	if job != nil {
 		heap.Pop(&q.jobs)
-		delete(q.live, job)
+		q.forget(job)
 	}
 	return job
 }
@@ -47,13 +61,16 @@
 	if !q.live[job] {
 		return false
 	}
-	delete(q.live, job)
+	q.forget(job)
 	q.removed[job] = true
 	return true
 }
 
 func (q *queue) len() int { return len(q.live) }
 
+// returns returns the number of jobs that returned after their Retry-After.
+func (q *queue) returns() int { return q.returned }
+
 // expire removes and returns the jobs that cannot finish before their deadline if they run for serviceTime.
 func (q *queue) expire(now time.Time, serviceTime time.Duration) []Decision {
 	var dropped []Decision
@@ -66,12 +83,16 @@
 	}
 }
 
-// deadlineHeap implements heap.Interface. The job with the earliest deadline is at the top.
+// deadlineHeap implements heap.Interface. At the top is the job with the earliest deadline among those that returned after
+// their Retry-After, or among all if there is none.
 type deadlineHeap []*Job
 
 func (h deadlineHeap) Len() int { return len(h) }
 
 func (h deadlineHeap) Less(i, j int) bool {
+	if h[i].IsReturn != h[j].IsReturn {
+		return h[i].IsReturn
+	}
 	if h[i].Deadline.Equal(h[j].Deadline) {
 		return h[i].ID < h[j].ID
 	}
--- a/admission/target_policy.go
+++ b/admission/target_policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -71,6 +72,9 @@
 	// capacity that the class used, in concurrent jobs.
 	startedWork time.Duration
 	recentUse   float64
+	// position is the index of the class in the order of urgency, and load the state of the load-aware order.
+	position int
+	load     loadState
 }
 
 // TargetPolicy orders jobs so that classes meet their latency and success targets. Each class is guaranteed a part of
@@ -91,13 +95,20 @@
 	// saturated reports whether the offered load exceeded the capacity. A job that misses its target then takes
 	// capacity from one that would meet it.
 	saturated bool
-	// isLoadAware selects the order of compareLoadAware for classes of the same rank.
+	// isLoadAware selects the order of compareLoadAware for classes of the same rank, and the decisions of offerByTarget
+	// and nextByTarget.
 	isLoadAware bool
+	pace        pace
+	reserve     slotReserve
+	// random is the source of the jitter of Retry-After.
+	random *rand.Rand
 }
 
 // NewTargetPolicy returns a policy for a server that runs the given number of jobs at a time.
 func NewTargetPolicy(concurrency int) *TargetPolicy {
-	t := &TargetPolicy{concurrency: concurrency, rateLimit: rate.Inf, states: map[class.Name]*classState{}}
+	t := &TargetPolicy{
+		concurrency: concurrency, rateLimit: rate.Inf, states: map[class.Name]*classState{}, random: newReturnRandom(1),
+	}
 	t.setCapacity()
 	return t
 }
@@ -173,6 +184,9 @@
 		}
 		return cmp.Compare(a.class.Name, b.class.Name)
 	})
+	for i, s := range t.byRank {
+		s.position = i
+	}
 }
 
 // defaultSuccess is the success target of a class for which none is configured.
@@ -207,6 +221,9 @@
 		return false
 	}
 	s.offered++
+	if t.isLoadAware {
+		return t.offerByTarget(now, s, job)
+	}
 	if !t.hasQueueSpace(s) || t.finishesTooLate(now, s, job) {
 		return false
 	}
@@ -241,12 +258,17 @@
 	t.refillCredit(now)
 	var decisions []Decision
 	for _, s := range t.byRank {
-		decisions = append(decisions, t.pruneQueues(now, s)...)
+		if t.isLoadAware {
+			decisions = append(decisions, t.pruneByTarget(now, s)...)
+		} else {
+			decisions = append(decisions, t.pruneQueues(now, s)...)
+		}
 	}
 	job := t.nextJob()
 	if job == nil {
 		return decisions
 	}
+	t.pace.start(now, job)
 	s := t.states[job.Class]
 	s.credit -= s.serviceTime
 	s.startedWork += s.serviceTime
@@ -296,6 +318,9 @@
 // nextJob removes and returns the next job to run, or nil. Classes with credit left from their guarantee come first.
 // Both among them and among the rest, jobs that can meet their target come before late ones.
 func (t *TargetPolicy) nextJob() *Job {
+	if t.isLoadAware {
+		return t.nextByTarget()
+	}
 	for _, s := range t.byRank {
 		if s.credit > 0 && s.queue.peek() != nil {
 			return s.queue.pop()
@@ -321,15 +346,24 @@
 
 // Done implements Policy.
 func (t *TargetPolicy) Done(_ time.Time, job *Job, runTime time.Duration) {
+	t.pace.end(job)
 	s := t.states[job.Class]
 	if s == nil {
 		return
 	}
 	s.credit -= runTime - s.serviceTime // Next charged the learned service time
+	if t.isLoadAware {
+		t.pace.observeEnd(runTime, s.serviceTime)
+		s.learnServiceTime(runTime)
+		return
+	}
 	runTime = min(runTime, maxOutlierFactor*s.serviceTime)
 	s.serviceTime += time.Duration(serviceTimeWeight * float64(runTime-s.serviceTime))
 }
 
+// Ended records that a started job no longer runs, whether it ran or not.
+func (t *TargetPolicy) Ended(job *Job) { t.pace.end(job) }
+
 // Remove implements Policy.
 func (t *TargetPolicy) Remove(job *Job) bool {
 	s := t.states[job.Class]
@@ -376,6 +410,7 @@
 		maxCredit := time.Duration(s.guarantee*float64(maxCreditTime)) + s.serviceTime
 		s.credit = min(maxCredit, s.credit+time.Duration(s.guarantee*float64(elapsed)))
 		s.credit = max(s.credit, -maxCredit) // a class that used much spare capacity is not locked out of its guarantee
+		t.refillStarvationCredit(s, elapsed)
 	}
 }
 
@@ -390,13 +425,18 @@
 	t.overloaded = work > overloadShare*t.capacity
 	// Hysteresis: a random dip in load does not admit work that the next window has no capacity for.
 	t.saturated = work > t.capacity || t.saturated && t.overloaded
+	if t.isLoadAware {
+		t.learnFloods(elapsed)
+	}
 	for _, s := range t.byRank {
 		rate := float64(s.offered) / elapsed.Seconds()
 		// The first demand of a class is learned even during an overload. Otherwise nothing would be learned after a
 		// restart under full load, and each class would be rejected as flooding for as long as the load lasts.
-		s.isFlooding = s.hasDemand && rate > floodRatio*s.demand
-		if !t.overloaded || !s.hasDemand {
-			s.learnDemand(rate)
+		if !t.isLoadAware {
+			s.isFlooding = s.hasDemand && rate > floodRatio*s.demand
+			if !t.overloaded || !s.hasDemand {
+				s.learnDemand(rate)
+			}
 		}
 		s.offered = 0
 		s.recentUse += recentUseWeight * (s.startedWork.Seconds()/elapsed.Seconds() - s.recentUse)
--- a/caller/offers_load_test.go
+++ b/caller/offers_load_test.go
@@ -63,6 +63,7 @@
 	var servers []caller.Server
 	for i := range len(s.servers) {
 		host := hostName(i)
+		s.servers[host].controller.SetLoadAware(isLoadAware)
 		servers = append(servers, caller.Server{
 			Host: host, Domain: "d", IsUsable: true, Concurrency: s.servers[host].controller.State().Limit,
 		})
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -11,7 +11,7 @@
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
-// concurrency is how many jobs the simulated server runs at a time.
+// concurrency is how many jobs the simulated server runs at a time unless the scenario describes another one.
 const concurrency = 6
 
 // ClassLoad is the load of one class on one server.
@@ -45,6 +45,10 @@
 	Loads  []ClassLoad
 	Floods []Flood
 	Fault  *Fault
+	// Swing is nil if the arrival rates are constant.
+	Swing *Swing
+	// Server describes the server, or is nil for one with the default number of slots and run times.
+	Server *Server
 	Length time.Duration
 	Seed   uint64
 }
@@ -58,6 +62,10 @@
 	// Duration is the time from the arrival of the call until it finished, or until it was rejected or dropped.
 	Duration time.Duration
 	InTarget bool
+	// RetryAfter is the time that a rejected call was told to wait, and IsReturn reports whether the call had been told so
+	// and returned then.
+	RetryAfter time.Duration
+	IsReturn   bool
 }
 
 // Run holds the measurements of one scenario simulated under one policy.
@@ -139,11 +147,11 @@
 	}
 	policy.SetClasses(startTime, classes)
 	for _, l := range s.Loads {
-		sim.scheduleArrivals(l, 0, s.Length, l.Rate)
+		sim.scheduleLoad(l)
 	}
 	for _, f := range s.Floods {
 		l := sim.loads[f.Class]
-		sim.scheduleArrivals(l, f.From, f.Until, f.Factor*concurrency/l.ServiceTime.Seconds())
+		sim.scheduleArrivals(l, f.From, f.Until, f.Factor*float64(sim.slots())/l.ServiceTime.Seconds())
 	}
 	if s.Fault != nil {
 		sim.schedule(s.Fault.Until, sim.dispatch)
@@ -184,13 +192,18 @@
 
 func (s *simulation) time() time.Time { return startTime.Add(s.now) }
 
-func (s *simulation) arrive(l ClassLoad) {
+func (s *simulation) arrive(l ClassLoad) { s.offer(l, s.now+l.Class.Timeout, 0) }
+
+// offer offers a call that returned the given number of times to the policy.
+func (s *simulation) offer(l ClassLoad, deadline time.Duration, returns int) {
 	s.nextID++
 	job := &admission.Job{
 		ID:       s.nextID,
 		Class:    l.Class.Name,
 		Arrived:  s.time(),
-		Deadline: s.time().Add(l.Class.Timeout),
+		Deadline: startTime.Add(deadline),
+		IsReturn: returns > 0,
+		Data:     returns,
 	}
 	if !s.policy.Offer(s.time(), job) {
 		s.recordRejected(job)
@@ -204,12 +217,15 @@
 		Class:    job.Class,
 		Arrived:  job.Arrived.Sub(startTime),
 		Duration: s.time().Sub(job.Arrived),
+
+		RetryAfter: job.RetryAfter, IsReturn: job.IsReturn,
 	})
+	s.scheduleReturn(job)
 }
 
 // dispatch starts queued jobs until the server's concurrency is used up.
 func (s *simulation) dispatch() {
-	for s.running < concurrency && !s.isFrozen() {
+	for s.running < s.slots() && !s.isFrozen() {
 		started := false
 		for _, d := range s.policy.Next(s.time()) {
 			if !d.Run {
@@ -235,6 +251,10 @@
 // start runs a job. Half of the mean service time is constant, and the other half is exponentially distributed.
 func (s *simulation) start(job *admission.Job) {
 	s.running++
+	if s.scenario.Server != nil {
+		s.startOn(s.scenario.Server, job)
+		return
+	}
 	mean := s.loads[job.Class].ServiceTime.Seconds()
 	runTime := time.Duration((mean/2 + s.random.ExpFloat64()*mean/2) * float64(time.Second))
 	if s.isFaulty() {
@@ -259,6 +279,7 @@
 		Answered: !s.time().After(job.Deadline),
 		Duration: sojourn,
 		InTarget: sojourn <= c.Latency,
+		IsReturn: job.IsReturn,
 	}
 	s.run.Samples = append(s.run.Samples, sample)
 	s.usedTime += runTime
@@ -273,7 +294,7 @@
 	if s.policy.Waiting() > 0 && !s.isFrozen() {
 		elapsed := (until - s.lastChange).Seconds()
 		s.backlogTime += elapsed
-		s.busyTime += elapsed * float64(s.running) / concurrency
+		s.busyTime += elapsed * float64(s.running) / float64(s.slots())
 	}
 	s.lastChange = until
 	s.now = until
