feat: calls that return after their Retry-After go first

Rejected calls were told the same short time, returned together, and were then new calls that could be rejected again.

Each rejected call gets a place of its own with seeded jitter. A call that returns at its time is recognised by a cheap hash of the request, beside the owner of its key or at the daemon where it entered, and goes ahead of new calls of its rank and of rejections at the entry. One that is repeated sooner uses its place up. The hop header Skylark-Hop-Return marks returns.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -126,16 +126,32 @@
 func (c *Controller) Acquire(ctx context.Context, callClass *class.Class, deadline time.Time,
 	canceled <-chan struct{},
 ) (*Ticket, error) {
-	return c.AcquireWithin(ctx, callClass, deadline, 0, canceled)
+	return c.AcquireFor(ctx, Request{Class: callClass, Deadline: deadline}, canceled)
 }
 
-// AcquireWithin is like Acquire, but rejects the call at once if it is not expected to start within maxWait, and drops it
-// from the queue once it has waited for that time. Zero is no bound.
+// Request describes a call that is to be admitted.
+type Request struct {
+	Class    *class.Class
+	Deadline time.Time
+	// MaxWait bounds the time in the queue. The call is rejected at once if it is not expected to start within it, and
+	// dropped once it has waited for that time. Zero is no bound.
+	MaxWait time.Duration
+	// IsReturn reports whether the call returned after the Retry-After of an earlier rejection.
+	IsReturn bool
+}
+
+// AcquireWithin is like Acquire with a maximum wait.
 func (c *Controller) AcquireWithin(ctx context.Context, callClass *class.Class, deadline time.Time,
 	maxWait time.Duration, canceled <-chan struct{},
 ) (*Ticket, error) {
+	return c.AcquireFor(ctx, Request{Class: callClass, Deadline: deadline, MaxWait: maxWait}, canceled)
+}
+
+// AcquireFor is like Acquire for a request.
+func (c *Controller) AcquireFor(ctx context.Context, r Request, canceled <-chan struct{}) (*Ticket, error) {
+	callClass, deadline, maxWait := r.Class, r.Deadline, r.MaxWait
 	admitted := make(chan bool, 1)
-	job, rejected := c.offer(callClass, deadline, maxWait, admitted)
+	job, rejected := c.offer(r, admitted)
 	if job == nil {
 		return nil, rejected
 	}
@@ -190,19 +206,19 @@
 }
 
 // offer queues a call, or returns the error that rejects it.
-func (c *Controller) offer(callClass *class.Class, deadline time.Time, maxWait time.Duration, admitted chan bool,
-) (*Job, *RejectedError) {
+func (c *Controller) offer(r Request, admitted chan bool) (*Job, *RejectedError) {
+	callClass, deadline, maxWait := r.Class, r.Deadline, r.MaxWait
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	c.nextID++
-	job := &Job{ID: c.nextID, Class: callClass.Name, Arrived: now, Deadline: deadline, Data: admitted}
+	job := &Job{ID: c.nextID, Class: callClass.Name, Arrived: now, Deadline: deadline, IsReturn: r.IsReturn, Data: admitted}
 	c.policy.UpdateClass(now, callClass)
 	if delay := c.rate.delay(now, 1); delay > 0 && now.Add(delay).After(deadline.Add(-rejectionMargin)) {
 		return nil, &RejectedError{Class: job.Class, Reason: NoCapacity, RetryAfter: delay}
 	}
 	if maxWait > 0 {
-		if wait := c.expectedWait(now, job.Class); wait > maxWait {
+		if wait := c.expectedWait(now, job.Class, job.IsReturn); wait > maxWait {
 			return nil, &RejectedError{Class: job.Class, Reason: WaitExceeded, RetryAfter: wait - maxWait}
 		}
 	}
--- a/admission/load_aware.go
+++ b/admission/load_aware.go
@@ -14,6 +14,9 @@
 	// maxTargetWaitShare bounds the wait for which a job is queued, as a share of its latency target. It keeps the server
 	// busy between two ends; a longer queue is dropped when the server becomes slow for a moment.
 	maxTargetWaitShare = 0.2
+	// minWaitShare is the share of its latency target within which a job that has waited is never late. Without it, an
+	// estimate of the run time that is too high would keep a class from running and would never be corrected.
+	minWaitShare = 0.05
 	// maxLateWaitShare bounds the wait of a job that cannot meet its latency target, as a share of that target. Capacity
 	// that is free only later belongs to the calls that arrive until then.
 	maxLateWaitShare = 1.0
@@ -238,7 +241,8 @@
 	}
 	margin := time.Duration(startMargin * float64(run))
 	for job := s.queue.peek(); job != nil; job = s.queue.peek() {
-		if now.Sub(job.Arrived)+margin <= s.class.Latency || now.Equal(job.Arrived) {
+		waited := now.Sub(job.Arrived)
+		if waited+margin <= s.class.Latency || waited <= time.Duration(minWaitShare*float64(s.class.Latency)) {
 			break
 		}
 		s.lateQueue.push(s.queue.pop())
--- a/admission/load_aware_test.go
+++ b/admission/load_aware_test.go
@@ -64,3 +64,29 @@
 	g.Expect(queued).To(gomega.BeNumerically("<", 10))
 	g.Expect(len(times)).To(gomega.BeNumerically(">=", 9), "distinct times in milliseconds")
 }
+
+// BenchmarkLoadAware measures the decisions for one call on a server that is asked for more than it can do.
+func BenchmarkLoadAware(b *testing.B) {
+	policy := admission.NewTargetPolicy(6)
+	policy.SetLoadAware(true)
+	classes := sameRank()
+	policy.SetClasses(start, classes)
+	now, id, running := start, uint64(0), []*admission.Job(nil)
+	for b.Loop() {
+		id++
+		now = now.Add(3 * time.Millisecond)
+		if id%8 == 0 && len(running) > 0 {
+			policy.Done(now, running[0], 100*time.Millisecond)
+			running = running[1:]
+		}
+		policy.Offer(now, &admission.Job{ID: id, Class: classes[id%4].Name, Arrived: now, Deadline: now.Add(time.Second)})
+		if len(running) >= 6 {
+			continue
+		}
+		for _, d := range policy.Next(now) {
+			if d.Run {
+				running = append(running, d.Job)
+			}
+		}
+	}
+}
--- a/admission/returns.go
+++ b/admission/returns.go
@@ -44,5 +44,8 @@
 	return time.Duration(s.serviceTime.Seconds() / (returnShare * used) * float64(time.Second))
 }
 
+// SeedReturns seeds the jitter of Retry-After, so that servers do not state the same times.
+func (t *TargetPolicy) SeedReturns(seed uint64) { t.random = newReturnRandom(seed) }
+
 // newReturnRandom returns the source of the jitter of a policy.
 func newReturnRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 2)) }
--- a/backend/nesting.go
+++ b/backend/nesting.go
@@ -13,6 +13,7 @@
 // SetLoadAware sets whether the configuration in force is load-aware. Without that, nested calls are treated like others.
 func (r *Runner) SetLoadAware(isLoadAware bool) {
 	r.controller.SetLoadAware(isLoadAware)
+	r.returns.setActive(isLoadAware)
 	if r.nesting != nil {
 		r.nesting.SetLoadAware(isLoadAware)
 	}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -80,6 +80,7 @@
 	quarantine     *quarantine.List
 	// nesting is nil if nested calls are treated like others.
 	nesting  *dependency.Tracker
+	returns  keyedReturns
 	host     ownership.HostID
 	onReport CrashObserver
 	// isolation holds a value while a suspected call runs.
@@ -222,6 +223,7 @@
 func (r *Runner) Run(ctx context.Context, c call.Call) call.Result {
 	arrived := r.clock.Now()
 	isNested := r.observeArrival(c)
+	c.IsReturn = r.returns.claim(c)
 	result := r.admit(ctx, c)
 	result.IsNested = isNested
 	if result.Outcome == class.NotRun && result.Reason == call.CallerGone {
@@ -232,6 +234,7 @@
 	if result.Outcome == class.NotRun && result.RetryAfter == 0 {
 		result.RetryAfter = load.QueueDelay
 	}
+	r.returns.observe(c, result)
 	return result
 }
 
@@ -272,7 +275,9 @@
 			}
 			isRunAdmitted = true
 		}
-		ticket, err := r.controller.AcquireWithin(ctx, c.Class, c.Deadline, maxWait(c, now, r.clock.Now()), permit.replaced)
+		ticket, err := r.controller.AcquireFor(ctx, admission.Request{
+			Class: c.Class, Deadline: c.Deadline, MaxWait: maxWait(c, now, r.clock.Now()), IsReturn: c.IsReturn,
+		}, permit.replaced)
 		if err == nil && !isIsolated && r.quarantineVerdict(c).IsSuspected {
 			ticket.Cancel()
 			continue
--- a/call/call.go
+++ b/call/call.go
@@ -34,6 +34,8 @@
 	IsSuspected bool
 	// IsNested reports whether a backend server makes the call while it runs another one.
 	IsNested bool
+	// IsReturn reports whether the call was rejected before and returned after its Retry-After.
+	IsReturn bool
 	// MaxWait is how long the call may be queued at the backend server before it is rejected, so that another one can
 	// be asked. Zero means that only the deadline bounds the wait.
 	MaxWait time.Duration
--- a/caller/bounded_offers.go
+++ b/caller/bounded_offers.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +86,11 @@
 	retryAfter    time.Duration
 	// skipped counts the calls rejected in the current rest.
 	skipped int
+	// acceptedInterval is the moving average of the time between accepted calls, and nextReturn the earliest time at
+	// which another call that was rejected without an offer may return.
+	acceptedInterval time.Duration
+	acceptedAt       time.Time
+	nextReturn       time.Time
 }
 
 // boundedOffers bounds the time that calls without a key wait at one server, in load-aware configurations: the first
@@ -95,11 +101,14 @@
 	isActive atomic.Bool
 
 	mu     sync.Mutex
+	random *rand.Rand
 	states map[offerKey]*offerState
 }
 
-func newBoundedOffers(clock clockwork.Clock) *boundedOffers {
-	return &boundedOffers{clock: clock, states: map[offerKey]*offerState{}}
+func newBoundedOffers(clock clockwork.Clock, seed uint64) *boundedOffers {
+	return &boundedOffers{
+		clock: clock, random: rand.New(rand.NewPCG(seed, 4)), states: map[offerKey]*offerState{},
+	}
 }
 
 // applies reports whether the offers of a call are bounded.
@@ -122,8 +131,9 @@
 	s := b.states[key]
 	if s == nil {
 		s = &offerState{
-			saved:   maxSavedFurtherOffers,
-			runTime: time.Duration(initialRunShare * float64(c.Class.Latency)),
+			saved:            maxSavedFurtherOffers,
+			runTime:          time.Duration(initialRunShare * float64(c.Class.Latency)),
+			acceptedInterval: initialAcceptedInterval,
 		}
 		b.states[key] = s
 	}
@@ -132,20 +142,21 @@
 
 // rejectAtEntry returns the time after which there may be capacity if the service has just rejected several calls of the
 // class in a row, and zero if the call is to be offered. Nested calls are always offered, because the run that needs them
-// has already used capacity.
+// has already used capacity, and so are calls that returned as they were told.
 func (b *boundedOffers) rejectAtEntry(c call.Call) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stateOf(c)
-	left := s.restUntil.Sub(b.clock.Now())
-	if left <= 0 || c.IsNested {
+	now := b.clock.Now()
+	left := s.restUntil.Sub(now)
+	if left <= 0 || c.IsNested || c.IsReturn {
 		return 0
 	}
 	s.skipped++
 	if s.skipped%probeInterval == 0 {
 		return 0
 	}
-	return s.retryAfter - s.restFor() + left
+	return b.returnTime(s, c, now, s.retryAfter-s.restFor()+left)
 }
 
 // restFor returns how long calls of the class are rejected without an offer.
@@ -209,6 +220,7 @@
 	s := b.stateOf(c)
 	s.saved = min(maxSavedFurtherOffers, s.saved+furtherOffersPerCall)
 	s.rejectedInRow, s.restUntil = 0, time.Time{}
+	s.recordInterval(b.clock.Now())
 	if answeredIn > 0 && bound.isShort {
 		sample := min(answeredIn, time.Duration(maxRunShare*float64(c.Class.Latency)))
 		s.runTime += time.Duration(runTimeWeight * float64(sample-s.runTime))
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -51,6 +51,7 @@
 	budget       *Budget
 	offers       *offerBudget
 	bounded      *boundedOffers
+	returns      *call.Returns
 	onOffer      func(Offer)
 	leaving      leavingServers
 	quarantine   *quarantine.List
@@ -70,7 +71,8 @@
 		balancer:     newBalancer(domain, clock, rand.New(rand.NewPCG(seed, 1))),
 		budget:       budget,
 		offers:       newOfferBudget(),
-		bounded:      newBoundedOffers(clock),
+		bounded:      newBoundedOffers(clock, seed),
+		returns:      call.NewReturns(clock),
 		onOffer:      func(Offer) {},
 		quarantine:   quarantine.NewList(clock),
 		leaving:      leavingServers{clock: clock, since: map[ownership.HostID]leavingServer{}},
@@ -126,6 +128,13 @@
 
 // Do runs a call, with retries, and returns its final result.
 func (r *Relay) Do(ctx context.Context, c call.Call) call.Result {
+	c.IsReturn = r.claimReturn(c)
+	result := r.do(ctx, c)
+	r.announceReturn(c, result)
+	return result
+}
+
+func (r *Relay) do(ctx context.Context, c call.Call) call.Result {
 	now := r.clock.Now()
 	state := &callState{
 		call:       c,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -86,8 +86,9 @@
 	d.quarantine.SetTrialDelay(rand.N(quarantine.MaxTrialDelay))
 	d.observer = newObserver(o.Log, d.registry, d.events, o.Clock, s.Log.LinesPerSecond)
 	seed := rand.Uint64()
-	admissionController := admission.NewController(
-		admission.NewTargetPolicy(defaultConcurrency), defaultConcurrency, o.Clock)
+	policy := admission.NewTargetPolicy(defaultConcurrency)
+	policy.SeedReturns(seed)
+	admissionController := admission.NewController(policy, defaultConcurrency, o.Clock)
 	admissionController.AwaitRateLimit()
 	d.runner = backend.NewRunner(admissionController, func() { d.control.probeServerSoon() }, o.Clock)
 	d.runner.ObserveNotices(backend.NoticeObserver{
@@ -104,6 +105,7 @@
 	d.runner.Quarantine(d.quarantine, s.Host, d.crashReported)
 	d.nesting = dependency.NewTracker(s.Service, d.observer.nestingObserver(), o.Clock, seed)
 	d.runner.FollowNesting(d.nesting)
+	d.runner.FollowReturns(call.NewReturns(o.Clock), newReturnObserver(d.observer).returned)
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock, o.BootClock)
 	d.hops.LimitMemory(d.bodyMemory)
 	table := caller.NewTable()
--- a/daemon/observe_offers.go
+++ b/daemon/observe_offers.go
@@ -17,6 +17,7 @@
 	rejectedByBound counter
 	rejected        counter
 	rejectedAtEntry counter
+	returns         *returnObserver
 }
 
 func newOfferObserver(o *observer) *offerObserver {
@@ -25,6 +26,7 @@
 		rejectedByBound: o.counter("offers.rejected_by_bound"),
 		rejected:        o.counter("offers.rejected_last"),
 		rejectedAtEntry: o.counter("offers.rejected_at_entry"),
+		returns:         newReturnObserver(o),
 	}
 	for i := range offers.byNumber {
 		offers.byNumber[i] = o.counter("offers.number_" + strconv.Itoa(i+1))
@@ -44,6 +46,10 @@
 		return
 	}
 	o.byNumber[min(offer.Number, countedOffers)-1].inc()
+	isFinal := offer.IsLast || !offer.Result.Reason.IsAdmissionRejection()
+	if offer.Call.IsReturn && isFinal {
+		o.returns.returned(offer.Call, offer.Result)
+	}
 	if !offer.Result.Reason.IsAdmissionRejection() {
 		return
 	}
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -42,6 +42,8 @@
 	suspectHeader = "Skylark-Hop-Suspected"
 	// maxWaitHeader is how long a call may be queued at the backend server, in microseconds. Without it there is no bound.
 	maxWaitHeader = "Skylark-Hop-Max-Wait-Us"
+	// returnHeader marks a call that returned after its Retry-After.
+	returnHeader = "Skylark-Hop-Return"
 	// nestedHeader marks a call, or the response to a call, whose class the sender knows as nested.
 	nestedHeader = "Skylark-Hop-Nested"
 	// sentHeader is when a call was sent, by the sender's boot clock. See delayMeter.
@@ -229,6 +231,9 @@
 	if c.IsNested {
 		header.Set(nestedHeader, "1")
 	}
+	if c.IsReturn {
+		header.Set(returnHeader, "1")
+	}
 	if c.HasKey {
 		header.Set(keyHeader, strconv.Itoa(int(c.Key)))
 	}
@@ -365,6 +370,7 @@
 		c.MaxWait = time.Duration(us) * time.Microsecond
 	}
 	c.IsNested = r.Header.Get(nestedHeader) != ""
+	c.IsReturn = r.Header.Get(returnHeader) != ""
 	if text := r.Header.Get(keyHeader); text != "" {
 		key, err := strconv.ParseUint(text, 10, 16)
 		if err != nil {
