feat(capacity): keys are levelled by the measured capacity of servers

Daemons measure the run times of classes and announce them. Each estimates the relative capacities of a service's servers, and a server whose utilisation is above that of the service hands over the excess to random servers below it, in proportion to their spare capacity. This is active for load-aware configurations only; others keep their decisions.

--- a/backend/runner.go
+++ b/backend/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/capacity"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/dependency"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
@@ -95,6 +96,7 @@
 	// them.
 	demand      map[class.Key]time.Duration
 	totalDemand time.Duration
+	runTimes    *capacity.Meter
 }
 
 // AssignmentCheck reports whether the ownership record assigns a key of this host's service to this host, and returns a
@@ -135,6 +137,7 @@
 		onBroken:      func(ownership.Instance) {},
 		onAbandoned:   func(AbandonedCall) {},
 		demand:        map[class.Key]time.Duration{},
+		runTimes:      capacity.NewMeter(),
 		stated:        newNotices(),
 		quarantine:    quarantine.NewList(clock),
 		onReport:      func(quarantine.Report, class.RequestID) {},
@@ -158,6 +161,7 @@
 		lost = r.takeLostCalls(old.IsLeaving)
 		// The client is replaced with the instance of the server, and another instance may accept more.
 		r.stated = newNotices()
+		r.runTimes.Reset()
 		r.controller.SetRateLimit(rate.Inf)
 	}
 	r.mu.Unlock()
@@ -396,7 +400,9 @@
 		result.Reason = call.ServerEnded
 		r.onUnreachable()
 	}
-	r.addDemand(c, r.clock.Since(start))
+	runTime := r.clock.Since(start)
+	r.addDemand(c, runTime)
+	r.observeRunTime(permit, c, runTime, result)
 	switch {
 	case result.Reason == call.Shed:
 		ticket.Shed()
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -87,6 +87,7 @@
 	// configRevision is the revision of the configuration that was last read from the store.
 	configRevision store.Revision
 	loadMeter      loadMeter
+	capacities     capacityState
 	usageMeter     usageMeter
 	permit         permitInputs
 	// isRecordReadDue is set while the ownership machine waits for a read of the record that has not been started. A
@@ -136,6 +137,7 @@
 		expectedHandovers: map[ownership.HostID]ownership.Instant{},
 		reportedRequests:  map[call.Fingerprint]bool{},
 		loadMeter:         newLoadMeter(o.Clock.Now()),
+		capacities:        newCapacityState(),
 		departure:         departureState{isKnown: make(chan struct{})},
 	}
 	c.gossip = newGossipState(o.BootClock.Now())
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -335,6 +335,7 @@
 	a.Host, a.Service = c.self, c.service
 	a.Epoch, a.Sequence = c.epoch, c.gossip.announcementCount
 	a.Load = c.loadMeter.load
+	a.RunTimes = c.ownRunTimes(now)
 	a.IsShuttingDown = c.isShuttingDown
 	a.IsUsable = a.IsUsable && !c.runner.IsRejecting()
 	a.IsStoreUnreachable = c.isStoreUnreachable()
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -52,6 +52,7 @@
 // updatePeers passes the hosts of this service and their load to the ownership machine.
 func (c *control) updatePeers(now ownership.Instant) {
 	c.peersUpdatedAt = now
+	c.updateCapacities(now)
 	if !c.isKeyed() {
 		return
 	}
@@ -67,6 +68,7 @@
 			Instance:    h.Announcement.Instance,
 			Concurrency: h.Announcement.Concurrency,
 			Load:        h.Announcement.Load,
+			Capacity:    c.capacityOf(h),
 		})
 	}
 	c.runOwnershipEffects(now, c.machine.SetPeers(now, peers))
@@ -143,10 +145,12 @@
 	intervalStart time.Time
 	load          float64
 	keys          map[class.Key]float64
+	// shape is the load by key over a longer time, while the configuration is load-aware.
+	shape map[class.Key]float64
 }
 
 func newLoadMeter(now time.Time) loadMeter {
-	return loadMeter{intervalStart: now, keys: map[class.Key]float64{}}
+	return loadMeter{intervalStart: now, keys: map[class.Key]float64{}, shape: map[class.Key]float64{}}
 }
 
 // measureLoad ends the current measuring interval when it is over.
@@ -171,4 +175,5 @@
 		m.keys[key] += loadSmoothing * runTime.Seconds() / elapsed.Seconds()
 	}
 	c.machine.SetLoads(m.keys)
+	c.measureShape(demand, elapsed)
 }
--- a/membership/host.go
+++ b/membership/host.go
@@ -66,6 +66,9 @@
 	Load        float64 `json:"load"`
 	// WarmupMS is for how much longer the backend server is slow after its start.
 	WarmupMS int64 `json:"warmup_ms,omitempty"`
+	// RunTimes holds the mean run times of classes on the backend server, as encoded by capacity.RunTimes. It is empty
+	// unless the configuration is load-aware.
+	RunTimes string `json:"run_times,omitempty"`
 	// IsShuttingDown reports that the daemon is shutting down. It continues to serve the keys that it still owns.
 	IsShuttingDown bool `json:"leaving,omitempty"`
 	// IsStoreUnreachable reports that the store does not serve the host, so that the daemon cannot watch the store on
@@ -82,10 +85,11 @@
 }
 
 // isSameRouting reports whether two announcements of a host lead to the same routes: they differ at most in their load,
-// their epoch and sequence, and the remaining warm-up.
+// their run times, their epoch and sequence, and the remaining warm-up.
 func (a Announcement) isSameRouting(other Announcement) bool {
 	// The remaining warm-up decreases without a change of the backend server.
 	a.Epoch, a.Sequence, a.Load, a.WarmupMS = other.Epoch, other.Sequence, other.Load, other.WarmupMS
+	a.RunTimes = other.RunTimes
 	return a == other
 }
 
--- a/membership/packed.go
+++ b/membership/packed.go
@@ -9,8 +9,11 @@
 )
 
 // PackedFormat is the version of the packed encoding of announcements. A host states in its presence which version it
-// reads. JSON announcements are read by all versions.
-const PackedFormat = 1
+// reads. JSON announcements are read by all versions. Format 1 has no run times.
+const PackedFormat = 2
+
+// oldestPackedFormat is the oldest format that this version reads.
+const oldestPackedFormat = 1
 
 // loadUnit is the resolution of a packed load, in running calls.
 const loadUnit = 0.001
@@ -21,6 +24,7 @@
 	flagReady
 	flagShuttingDown
 	flagStoreUnreachable
+	flagRunTimes
 )
 
 // PackedError reports packed announcements that cannot be decoded.
@@ -33,7 +37,7 @@
 // else between daemons, and decoding them as JSON objects would be most of the cost of control.
 //
 // The encoding is a format byte followed by the announcements. Each consists of its host, service and instance ID as
-// length-prefixed strings, and its other fields as varints.
+// length-prefixed strings, and its other fields as varints. If there are run times, they follow as a string.
 func PackAnnouncements(announcements []Announcement) []byte {
 	data := []byte{PackedFormat}
 	for _, a := range announcements {
@@ -51,6 +55,9 @@
 		} {
 			data = binary.AppendUvarint(data, value)
 		}
+		if a.RunTimes != "" {
+			data = appendString(data, a.RunTimes)
+		}
 	}
 	return data
 }
@@ -61,7 +68,8 @@
 
 func (a Announcement) flags() uint64 {
 	return flagIf(a.IsUsable, flagUsable) | flagIf(a.IsReady, flagReady) |
-		flagIf(a.IsShuttingDown, flagShuttingDown) | flagIf(a.IsStoreUnreachable, flagStoreUnreachable)
+		flagIf(a.IsShuttingDown, flagShuttingDown) | flagIf(a.IsStoreUnreachable, flagStoreUnreachable) |
+		flagIf(a.RunTimes != "", flagRunTimes)
 }
 
 func flagIf(isSet bool, flag uint64) uint64 {
@@ -73,7 +81,7 @@
 
 // UnpackAnnouncements decodes announcements that PackAnnouncements encoded. The error is a PackedError.
 func UnpackAnnouncements(data []byte) ([]Announcement, error) {
-	if len(data) == 0 || data[0] != PackedFormat {
+	if len(data) == 0 || data[0] < oldestPackedFormat || data[0] > PackedFormat {
 		return nil, &PackedError{Reason: "unknown format"}
 	}
 	u := unpacker{rest: data[1:]}
@@ -88,6 +96,9 @@
 		a.Concurrency = int(u.uvarint())
 		a.Load = float64(u.uvarint()) * loadUnit
 		a.WarmupMS = int64(u.uvarint())
+		if flags&flagRunTimes != 0 {
+			a.RunTimes = u.text()
+		}
 		announcements = append(announcements, a)
 	}
 	if u.isTruncated {
--- a/membership/packed_test.go
+++ b/membership/packed_test.go
@@ -26,6 +26,7 @@
 		WarmupMS:           rapid.Int64Range(0, 1<<40).Draw(t, "warmup"),
 		IsShuttingDown:     rapid.Bool().Draw(t, "shutting down"),
 		IsStoreUnreachable: rapid.Bool().Draw(t, "unreachable"),
+		RunTimes:           rapid.String().Draw(t, "run times"),
 	}
 }
 
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/skylarkrelay/skylarkrelay/capacity"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 	"github.com/skylarkrelay/skylarkrelay/store"
@@ -42,6 +43,9 @@
 	Concurrency int
 	// Load is the average number of requests running on the backend server.
 	Load float64
+	// Capacity is how much the backend server completes with each of its slots in comparison with the mean of all. It is
+	// zero unless the configuration is load-aware. Keys are then divided regardless of it.
+	Capacity float64
 }
 
 // keyHold is the hold that a backend server may have on a key.
@@ -123,14 +127,22 @@
 	lastToken      WriteToken
 	writeNotBefore Instant
 
-	peers          []Peer
-	unchangedSince Instant
-	absentSince    map[HostID]Instant
-	takeovers      map[HostID]*takeover
+	peers []Peer
+	// peersUnchangedSince is when the membership last changed, and unchangedSince when it or the record did.
+	peersUnchangedSince Instant
+	unchangedSince      Instant
+	absentSince         map[HostID]Instant
+	takeovers           map[HostID]*takeover
 
 	// loads contains the busy keys in ascending order.
 	loads       []keyLoad
 	rebalanceAt Instant
+	// shape contains the busy keys in ascending order with a load that is measured over a longer time, and shapeQuantum
+	// is what one call contributes to it. Both are set only if the configuration is load-aware.
+	shape        []keyLoad
+	shapeQuantum float64
+	// imbalance follows the utilisation of this host's backend server in relation to that of the service.
+	imbalance capacity.Imbalance
 }
 
 // NewStateMachine returns the state machine of a daemon that has just started.
@@ -317,7 +329,7 @@
 func (m *StateMachine) SetPeers(now Instant, peers []Peer) []Effect {
 	slices.SortFunc(peers, func(a, b Peer) int { return compareHosts(a.Host, b.Host) })
 	if !slices.EqualFunc(peers, m.peers, sameMembership) {
-		m.unchangedSince = now
+		m.unchangedSince, m.peersUnchangedSince = now, now
 	}
 	m.peers = peers
 	for host := range m.absentSince {
@@ -361,11 +373,16 @@
 
 // SetLoads sets the average number of requests running for each busy key.
 func (m *StateMachine) SetLoads(loads map[class.Key]float64) {
-	m.loads = m.loads[:0]
+	m.loads = sortedLoads(m.loads, loads)
+}
+
+func sortedLoads(sorted []keyLoad, loads map[class.Key]float64) []keyLoad {
+	sorted = sorted[:0]
 	for key, load := range loads {
-		m.loads = append(m.loads, keyLoad{key: key, load: load})
+		sorted = append(sorted, keyLoad{key: key, load: load})
 	}
-	slices.SortFunc(m.loads, func(a, b keyLoad) int { return int(a.key) - int(b.key) })
+	slices.SortFunc(sorted, func(a, b keyLoad) int { return int(a.key) - int(b.key) })
+	return sorted
 }
 
 // SetServerState sets the state of the backend server on this host.
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -70,17 +70,15 @@
 		}
 		return nil
 	}
+	if m.isLoadAware() {
+		return m.planLevelling(now, self)
+	}
 	isSettled := m.record.Members[self].Instance == m.instance && now.Sub(m.unchangedSince) > m.timing.SettleTime
 	if !isSettled || now < m.rebalanceAt {
 		return nil
 	}
 	m.rebalanceAt = now.Add(m.timing.RebalanceInterval)
-	index := -1
-	for i, p := range m.peers {
-		if p.Host == m.self {
-			index = i
-		}
-	}
+	index := m.peerIndex()
 	if index < 0 {
 		return nil
 	}
@@ -89,13 +87,18 @@
 	return m.startMoves(now, moves, "levelling")
 }
 
+// peerIndex returns the index of this host among the peers, or -1.
+func (m *StateMachine) peerIndex() int {
+	return slices.IndexFunc(m.peers, func(p Peer) bool { return p.Host == m.self })
+}
+
 // ownSpans returns the spans of this host's keys with the load on each. A span with a high load is split after busy
 // keys, so that a part of it can be moved.
 func (m *StateMachine) ownSpans(self int) []placement.LoadedSpan {
 	var spans []placement.LoadedSpan
 	for span, a := range m.record.Keys.Runs() {
 		if a.Owner == self {
-			spans = append(spans, m.splitByLoad(span)...)
+			spans = append(spans, splitByLoad(span, m.loads)...)
 		}
 	}
 	return spans
@@ -107,13 +110,13 @@
 // splitParts determines the load of each part of a span that is split: about 1/splitParts of the load of the span.
 const splitParts = 4
 
-func (m *StateMachine) splitByLoad(span keyspace.Span) []placement.LoadedSpan {
-	first, _ := slices.BinarySearchFunc(m.loads, span.From, func(l keyLoad, key class.Key) int {
+func splitByLoad(span keyspace.Span, loads []keyLoad) []placement.LoadedSpan {
+	first, _ := slices.BinarySearchFunc(loads, span.From, func(l keyLoad, key class.Key) int {
 		return int(l.key) - int(key)
 	})
 	total, end := 0.0, first
-	for ; end < len(m.loads) && m.loads[end].key <= span.To; end++ {
-		total += m.loads[end].load
+	for ; end < len(loads) && loads[end].key <= span.To; end++ {
+		total += loads[end].load
 	}
 	if total < minSplitLoad || span.Size() == 1 {
 		return []placement.LoadedSpan{{Span: span, Load: total}}
@@ -121,7 +124,7 @@
 	// Each part has about 1/splitParts of the load and ends with a busy key.
 	var spans []placement.LoadedSpan
 	part := placement.LoadedSpan{Span: keyspace.Span{From: span.From}}
-	for _, busy := range m.loads[first:end] {
+	for _, busy := range loads[first:end] {
 		part.Load += busy.load
 		if part.Load >= total/splitParts && busy.key < span.To {
 			part.Span.To = busy.key
@@ -141,6 +144,10 @@
 		candidates[i].Load = p.Load
 		if p.IsPresent && p.IsEligible && p.Host != exclude {
 			candidates[i].Capacity = 1
+			if p.Capacity > 0 {
+				candidates[i].Slots = float64(max(1, p.Concurrency))
+				candidates[i].Capacity = p.Capacity * candidates[i].Slots
+			}
 		}
 		if index := r.MemberIndex(p.Host); index != NoMember {
 			candidates[i].Keys = keys[index]
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -169,8 +169,10 @@
 	recoveries int
 	faultsOff  bool
 	isTraced   bool
-	trace      []string
-	tracedKey  class.Key
+	// isLoadAware reports whether the keys are levelled by capacity in this walk.
+	isLoadAware bool
+	trace       []string
+	tracedKey   class.Key
 }
 
 func newSimulation(seed uint64, m mutation) *simulation {
@@ -181,6 +183,7 @@
 		layout:   ownership.StoreLayout{Prefix: "w/"},
 	}
 	sim.store = store.NewMemory(sim.clock)
+	sim.isLoadAware = seed%4 == 3
 	if sim.random.IntN(8) > 0 {
 		sim.writeInitialRecord() // otherwise the hosts make the initial assignment
 	}
@@ -400,11 +403,20 @@
 			Instance:    h.server.instance,
 			Concurrency: 4,
 			Load:        4 * sim.random.Float64(),
+			Capacity:    sim.capacityOf(h),
 		})
 	}
 	return peers
 }
 
+// capacityOf returns the relative capacity of a host's backend server, or zero in a walk that is not load-aware.
+func (sim *simulation) capacityOf(h *simHost) float64 {
+	if !sim.isLoadAware {
+		return 0
+	}
+	return 0.5 + float64(h.id[1]-'0')
+}
+
 // tracef adds a line to the trace, if the walk is traced.
 func (sim *simulation) tracef(format string, values ...any) {
 	if sim.isTraced {
@@ -507,6 +519,7 @@
 			loads[class.Key(sim.random.IntN(1000))] = 0.3
 		}
 		h.machine.SetLoads(loads)
+		h.machine.SetShape(loads, 0.01)
 	case 9: // the store is away for a moment and restored from a copy
 		if sim.random.IntN(2) == 0 {
 			sim.storeDownUntil = max(sim.storeDownUntil, sim.now+length/5)
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -238,7 +238,11 @@
 			members[i] = r.addMember(Member{Host: p.Host, Instance: p.Instance})
 		}
 	}
-	owners := placement.Distribute(withCapacity(candidates))
+	distribute := placement.Distribute
+	if m.isLoadAware() {
+		distribute = placement.DistributeCoarsely
+	}
+	owners := distribute(withCapacity(candidates))
 	for span, owner := range owners.Runs() {
 		r.assign(span, owner, "")
 	}
--- /dev/null
+++ b/placement/level_test.go
@@ -0,0 +1,99 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/keyspace"
+	"github.com/skylarkrelay/skylarkrelay/placement"
+)
+
+// TestLoadIsLevelledByCapacity guards against a slow server that stays full because its load is little above the mean of
+// all loads, and against keys that move back and forth. After the first 5 s, while the service is half utilised or more,
+// the quartiles of the utilisation differ by at most maxSpread, and in the mean at most maxFull of the servers are full
+// while another has room. Without levelling, they differ by 2.1 and half of the servers are full at the peak. On average,
+// no more than a fiftieth of all keys moves in a second.
+func TestLoadIsLevelledByCapacity(t *testing.T) {
+	brumeval := simScenario{
+		speeds: []float64{0.7, 0.7, 1.7}, servers: 48, slots: 8, rate: 1350, runTime: 127 * time.Millisecond,
+		swing: 0.55, period: 17 * time.Second,
+	}
+	lakeshore := simScenario{
+		speeds: []float64{0.5, 1, 1, 1.5}, servers: 46, slots: 6, rate: 640, runTime: 160 * time.Millisecond,
+		swing: 0.55, period: 17 * time.Second, slowShare: 0.08,
+	}
+	withHotKeys := func(s simScenario) simScenario {
+		s.hotEvery, s.hotShare = 20*time.Second, 0.1
+		return s
+	}
+	const maxSpread, maxFull = 1.75, 0.08
+	for name, scenario := range map[string]simScenario{
+		"brumeval":           brumeval,
+		"lakeshore":          lakeshore,
+		"brumeval hot keys":  withHotKeys(brumeval),
+		"lakeshore hot keys": withHotKeys(lakeshore),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := newSimulation(scenario, 1)
+			full, samples, worst := 0, 0, 0.0
+			for range 40 * time.Second / simTick {
+				s.step()
+				u := s.utilisations()
+				slices.Sort(u)
+				low, mid, high := u[len(u)/4], u[len(u)/2], u[len(u)*3/4]
+				if s.now <= 5*time.Second || mid < 0.5 {
+					continue
+				}
+				worst = max(worst, high/low)
+				for _, one := range u {
+					samples++
+					if one > 0.95 && u[0] < 0.7 {
+						full++
+					}
+				}
+			}
+			t.Logf("spread %.2f, full %.3f, moved %d", worst, float64(full)/float64(samples), s.moved)
+			g.Expect(worst).To(gomega.BeNumerically("<", maxSpread))
+			g.Expect(float64(full) / float64(samples)).To(gomega.BeNumerically("<", maxFull))
+			g.Expect(s.moved).To(gomega.BeNumerically("<", 40*class.KeyCount/50))
+			g.Expect(s.maxSpans()).To(gomega.BeNumerically("<=", placement.MaxSpans))
+		})
+	}
+}
+
+// TestTargetsAreChosenByTheirSpareCapacity guards against servers that hand over keys at the same moment and all choose
+// the same target.
+func TestTargetsAreChosenByTheirSpareCapacity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers := make([]placement.Server, 4)
+	for i, load := range []float64{8, 2, 4, 7} {
+		servers[i] = placement.Server{Capacity: 8, Slots: 8, Load: load, Keys: class.KeyCount / 4, Spans: 10}
+	}
+	servers[1].Spans = placement.MaxSpans
+	var spans []placement.LoadedSpan
+	for i := range 80 {
+		from := class.Key(16 * i)
+		spans = append(spans, placement.LoadedSpan{Span: keyspace.Span{From: from, To: from + 15}, Load: 0.1})
+	}
+	moves, moved := placement.Level(0, spans, servers, 0.34, 0.01, rand.New(rand.NewPCG(1, 1)))
+	g.Expect(moved).To(gomega.BeNumerically(">", 0))
+	for _, move := range moves {
+		g.Expect(move.To).To(gomega.Equal(2), "server 1 has no room for spans, and server 3 no spare capacity")
+	}
+	servers[1].Spans = 10
+	moves, moved = placement.Level(0, spans, servers, 0.34, 0.01, rand.New(rand.NewPCG(1, 1)))
+	g.Expect(moved).To(gomega.BeNumerically("~", 0.34, 0.02))
+	counts := map[int]int{}
+	for _, move := range moves {
+		counts[move.To]++
+	}
+	g.Expect(counts[1]).To(gomega.BeNumerically(">", counts[2]))
+	g.Expect(counts[2]).To(gomega.BeNumerically(">", 2))
+	g.Expect(counts[3]).To(gomega.BeZero())
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,6 +19,9 @@
 	// has room for about 180 spans. The difference is left for stripes that are split and for spans of servers that are
 	// lost.
 	stripesPerServer = 130
+	// coarseStripesPerServer takes its place if load is levelled by capacity. A server that is twice as fast as the mean
+	// then has room for twice the spans, and for those that are split.
+	coarseStripesPerServer = 65
 	// MaxSpans is the maximum number of spans that a server may hold.
 	MaxSpans = 165
 	// mergeThreshold is the number of spans at which a server starts to be passed over in favour of the owner of the
@@ -42,10 +45,19 @@
 	Spans int
 	// Load is the mean number of calls that run on the server at a time, or would run if none were rejected.
 	Load float64
+	// Slots is how many calls the server runs at a time. Only Level needs it.
+	Slots float64
 }
 
 // Distribute assigns all keys to servers in proportion to their capacity.
-func Distribute(servers []Server) keyspace.Map[int] {
+func Distribute(servers []Server) keyspace.Map[int] { return distribute(servers, stripesPerServer) }
+
+// DistributeCoarsely does the same in half as many spans, for services whose load is then levelled by capacity.
+func DistributeCoarsely(servers []Server) keyspace.Map[int] {
+	return distribute(servers, coarseStripesPerServer)
+}
+
+func distribute(servers []Server, stripesPerServer int) keyspace.Map[int] {
 	var owners keyspace.Map[int]
 	if len(servers) == 0 {
 		owners.Set(keyspace.All(), NoServer)
