feat(admission): cold servers get no more requests than they accept

A server that has just started crashes above a few requests a second. Until now the daemon beside it sent it as many as it had slots for. A limiter beside the rate limit now spaces the starts while the server is cold, counts those of the last second, and rejects calls at once that cannot start within their target.

Coldness is learned from heartbeats and, between them, from health checks whose number follows the calls; a broken connection counts as a restart until the next statement. Entry daemons give a cold server their share of its rate, and placement counts on the part of its capacity that it can take.

--- a/admission/bounded_wait.go
+++ b/admission/bounded_wait.go
@@ -16,7 +16,7 @@
 // call at once.
 func (c *Controller) expectedWait(now time.Time, name class.Name, isReturn bool) time.Duration {
 	if c.running < c.maxRunning() && c.policy.Waiting() == 0 {
-		return c.rate.delay(now, 1)
+		return c.rateDelay()
 	}
 	limit := time.Duration(max(1, c.maxRunning()))
 	// The backlog does not include the job that has to end before the next one starts.
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -29,6 +29,9 @@
 	// WaitExceeded means that the call was or would have been queued for longer than its maximum wait. Another server may
 	// start it sooner.
 	WaitExceeded // wait_exceeded
+	// Cold means that the call was not queued because the backend server is cold and accepts too few requests to start
+	// it in time.
+	Cold // cold
 )
 
 // RejectedError reports a call that was rejected. The call has not run.
@@ -54,6 +57,7 @@
 	running int
 	nextID  uint64
 	rate    rateLimiter
+	warmup  warmupLimiter
 	// isRateUnknown limits the concurrency to one until SetRateLimit.
 	isRateUnknown bool
 	// isWakeScheduled reports whether a timer will start queued jobs once the rate limit permits.
@@ -70,6 +74,7 @@
 	SetConcurrency(concurrency int)
 	SetRateLimit(limit rate.Limit)
 	Capacity() float64
+	MeanServiceTime() time.Duration
 }
 
 // runTracker is implemented by policies that follow the running jobs.
@@ -149,7 +154,7 @@
 
 // AcquireFor is like Acquire for a request.
 func (c *Controller) AcquireFor(ctx context.Context, r Request, canceled <-chan struct{}) (*Ticket, error) {
-	callClass, deadline, maxWait := r.Class, r.Deadline, r.MaxWait
+	callClass, maxWait := r.Class, r.MaxWait
 	admitted := make(chan bool, 1)
 	job, rejected := c.offer(r, admitted)
 	if job == nil {
@@ -160,7 +165,7 @@
 		return c.newTicket(job, isAdmitted)
 	default:
 	}
-	reason, limit := Expired, deadline.Sub(job.Arrived)-rejectionMargin
+	reason, limit := Expired, job.Deadline.Sub(job.Arrived)-rejectionMargin
 	if maxWait > 0 && maxWait < limit {
 		reason, limit = WaitExceeded, maxWait
 	}
@@ -222,6 +227,9 @@
 			return nil, &RejectedError{Class: job.Class, Reason: WaitExceeded, RetryAfter: wait - maxWait}
 		}
 	}
+	if delay := c.rejectWhileCold(now, job, callClass.Latency); delay > 0 {
+		return nil, &RejectedError{Class: job.Class, Reason: Cold, RetryAfter: delay}
+	}
 	if !c.policy.Offer(now, job) {
 		rejected := &RejectedError{Class: job.Class, Reason: NoCapacity, RetryAfter: job.RetryAfter}
 		if rejected.RetryAfter <= 0 {
@@ -243,9 +251,11 @@
 	return c.policy.Backlog() / time.Duration(c.limit.Current())
 }
 
-// rateDelay returns how long a new call is expected to be queued because of the rate limit.
+// rateDelay returns how long a new call is expected to be queued because of the rate limit, or because the server is
+// cold.
 func (c *Controller) rateDelay() time.Duration {
-	return c.rate.delay(c.clock.Now(), c.policy.Waiting()+1)
+	now, jobs := c.clock.Now(), c.policy.Waiting()+1
+	return max(c.rate.delay(now, jobs), c.warmup.delay(now, jobs))
 }
 
 func (c *Controller) remove(job *Job) bool {
@@ -300,7 +310,7 @@
 func (c *Controller) dispatch() {
 	for c.running < c.maxRunning() {
 		now := c.clock.Now()
-		if delay := c.rate.delay(now, 1); delay > 0 {
+		if delay := max(c.rate.delay(now, 1), c.warmup.delay(now, 1)); delay > 0 {
 			c.dispatchAfter(delay)
 			return
 		}
@@ -314,6 +324,7 @@
 		}
 		c.running++
 		c.rate.start(now)
+		c.warmup.start(now)
 	}
 }
 
@@ -341,6 +352,8 @@
 	RateDelay time.Duration `json:"rate_delay_ns,omitempty"`
 	// RatePerSecond is the rate limit in calls per second, or zero if there is none.
 	RatePerSecond float64 `json:"rate_per_s,omitempty"`
+	// IsCold reports whether the server is limited because it is cold.
+	IsCold bool `json:"cold,omitempty"`
 }
 
 // State returns a snapshot of the controller.
@@ -354,6 +367,7 @@
 		Limit:     c.limit.Current(),
 		Wait:      max(c.concurrencyDelay(), rateDelay),
 		RateDelay: rateDelay,
+		IsCold:    c.warmup.isCold(c.clock.Now()),
 	}
 	if limit := c.rate.limit(); limit != rate.Inf {
 		s.RatePerSecond = float64(limit)
--- a/admission/rejectreason_string.go
+++ b/admission/rejectreason_string.go
@@ -12,11 +12,12 @@
 	_ = x[Expired-1]
 	_ = x[Canceled-2]
 	_ = x[WaitExceeded-3]
+	_ = x[Cold-4]
 }
 
-const _RejectReason_name = "crowdedexpiredwithdrawnwait_exceeded"
+const _RejectReason_name = "crowdedexpiredwithdrawnwait_exceededcold"
 
-var _RejectReason_index = [...]uint8{0, 7, 14, 23, 36}
+var _RejectReason_index = [...]uint8{0, 7, 14, 23, 36, 40}
 
 func (i RejectReason) String() string {
 	idx := int(i) - 0
--- a/backend/client.go
+++ b/backend/client.go
@@ -40,6 +40,8 @@
 	headerNames call.HeaderNames
 	clock       clockwork.Clock
 	pool        *link.Pool
+	// health is for health checks, so that those never follow a call on a connection on which a full server hangs.
+	health *link.Pool
 }
 
 // NewClient returns a client for the backend server at an address. It keeps at most maxIdle idle connections and calls
@@ -47,21 +49,39 @@
 func NewClient(
 	address string, maxIdle int, headerNames call.HeaderNames, onDial func(), clock clockwork.Clock,
 ) *Client {
-	return &Client{address: address, headerNames: headerNames, clock: clock, pool: link.NewPool(address, link.Options{
+	options := link.Options{
 		DialTimeout:  dialTimeout,
 		AckTimeout:   ackTimeout,
 		IdleTimeout:  idleTimeout,
 		MaxIdleConns: maxIdle,
 		MaxBody:      maxResponseBody,
 		OnDial:       onDial,
-	}, clock)}
+	}
+	healthOptions := options
+	healthOptions.MaxIdleConns, healthOptions.MaxBody, healthOptions.OnDial = 1, maxHealthBody, nil
+	return &Client{
+		address:     address,
+		headerNames: headerNames,
+		clock:       clock,
+		pool:        link.NewPool(address, options, clock),
+		health:      link.NewPool(address, healthOptions, clock),
+	}
+}
+
+// ObserveIdleClosed sets the function that is called when the server has closed an idle connection. It must be called
+// before the first call, and the function must not block.
+func (client *Client) ObserveIdleClosed(onIdleClosed func()) {
+	client.pool.ObserveIdleClosed(onIdleClosed)
 }
 
 // LimitMemory bounds the memory of incomplete responses. It must be called before the first call.
 func (client *Client) LimitMemory(m *link.Memory) { client.pool.LimitMemory(m) }
 
 // Close closes the idle connections.
-func (client *Client) Close() { client.pool.Close() }
+func (client *Client) Close() {
+	client.pool.Close()
+	client.health.Close()
+}
 
 // Active returns the number of calls that are in progress on open connections.
 func (client *Client) Active() int { return client.pool.Active() }
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -38,6 +38,10 @@
 	KeysValidUntil time.Time
 	// Concurrency is the number of calls that the server runs at a time.
 	Concurrency int
+	// Warmup is the limit while the server is cold. ColdUntil is when that ends, as the server stated in the heartbeat in
+	// which it was found; Runner.StateWarmup applies later statements.
+	Warmup    admission.WarmupLimit
+	ColdUntil time.Time
 }
 
 // allows reports whether a call may start at the given time.
@@ -77,6 +81,7 @@
 	// isAssigned is nil if calls never wait for their key.
 	isAssigned     AssignmentCheck
 	noticeObserver NoticeObserver
+	warmupObserver WarmupObserver
 	quarantine     *quarantine.List
 	// nesting is nil if nested calls are treated like others.
 	nesting  *dependency.Tracker
@@ -89,6 +94,8 @@
 	mu sync.Mutex
 	// stated is what the server at the current client stated about itself.
 	stated notices
+	// cold is what is known of whether the server at the current client is cold.
+	cold coldness
 	// lostCalls contains the calls whose connection to the server at the current client broke.
 	lostCalls []lostCall
 	// demand and totalDemand hold the run time that calls asked for, by key and in total, since TakeDemand last reset
@@ -144,6 +151,10 @@
 			Leaving:          func(string, class.RequestID) {},
 			Invalid:          func(error) {},
 		},
+		warmupObserver: WarmupObserver{
+			Rejected:  func(call.Call, time.Duration) {},
+			Suspected: func(ownership.Instance, string) {},
+		},
 	}
 	r.current.Store(&activePermit{replaced: make(chan struct{})})
 	return r
@@ -152,6 +163,11 @@
 // SetPermit replaces the permit and the client. Queued calls check again whether they may start.
 func (r *Runner) SetPermit(p Permit, client *Client) {
 	r.mu.Lock()
+	if client != r.current.Load().client {
+		r.cold = coldness{until: p.ColdUntil, statedAt: r.clock.Now()}
+	}
+	// The limit is set before the permit, so that no call starts on a new instance without it.
+	r.controller.SetWarmup(p.Warmup, r.cold.limitedUntil())
 	old := r.current.Swap(&activePermit{Permit: p, client: client, replaced: make(chan struct{})})
 	var lost []lostCall
 	if old.client != nil && client != old.client {
@@ -366,6 +382,9 @@
 	var rejected *admission.RejectedError
 	isDemand := errors.As(err, &rejected) && rejected.Reason != admission.Canceled &&
 		rejected.Reason != admission.WaitExceeded // another server runs the call
+	if rejected != nil && rejected.Reason == admission.Cold {
+		r.warmupObserver.Rejected(c, rejected.RetryAfter)
+	}
 	if isDemand {
 		r.addDemand(c, time.Duration(rejectedWeight*float64(r.controller.ServiceTime(c.Class.Name))))
 	}
@@ -387,6 +406,7 @@
 	endRun()
 	r.running.Add(-1)
 	r.observeNotice(permit, c, start, result)
+	r.suspectAfter(permit, result)
 	switch {
 	case result.Reason == call.Unreachable:
 		r.onUnreachable()
--- a/caller/balancer.go
+++ b/caller/balancer.go
@@ -58,10 +58,17 @@
 	mu     sync.Mutex
 	stats  map[ownership.HostID]*serverStats
 	random *rand.Rand
+	cold   coldServers
 }
 
 func newBalancer(domain ownership.FailureDomain, clock clockwork.Clock, random *rand.Rand) *balancer {
-	return &balancer{clock: clock, domain: domain, stats: map[ownership.HostID]*serverStats{}, random: random}
+	return &balancer{
+		clock:  clock,
+		domain: domain,
+		stats:  map[ownership.HostID]*serverStats{},
+		random: random,
+		cold:   coldServers{random: random, buckets: map[ownership.HostID]*coldBucket{}},
+	}
 }
 
 // maxCandidates is the number of servers that pick compares. If there are more, it compares a random subset.
@@ -71,7 +78,11 @@
 func (b *balancer) pick(route *ServiceRoute, tried map[ownership.HostID]bool) *Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	candidates := b.candidates(route, tried)
+	now := b.clock.Now()
+	cold, candidates := splitCold(now, route, b.candidates(route, tried))
+	if s := b.cold.take(now, cold); s != nil {
+		return s
+	}
 	if len(candidates) > maxCandidates {
 		b.random.Shuffle(len(candidates), func(i, j int) {
 			candidates[i], candidates[j] = candidates[j], candidates[i]
@@ -193,6 +204,7 @@
 func (b *balancer) prune(routes Routes) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.cold.prune(routes)
 	for host, s := range b.stats {
 		if !routes.hasHost(host) && s.inFlight == 0 {
 			delete(b.stats, host)
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -86,6 +86,10 @@
 	r.leaving.header, r.leaving.usableTime = header, usableTime
 }
 
+// ObserveCold sets the function that is called when a call is not sent to a cold server because this daemon's share of its
+// rate is used up. It must be called before the first call, and the function must not block.
+func (r *Relay) ObserveCold(onPassedOver func()) { r.balancer.cold.onPassedOver = onPassedOver }
+
 // HoldBack makes the relay send no calls that the list holds back. It must be called before the first call.
 func (r *Relay) HoldBack(list *quarantine.List) { r.quarantine = list }
 
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -26,8 +26,14 @@
 	Concurrency int
 	// WarmupUntil is the time until which the server is slow after its start.
 	WarmupUntil time.Time
+	// ColdRate is this daemon's share of the requests per second that a cold server of the service accepts, or zero if
+	// the service has no such limit.
+	ColdRate float64
 }
 
+// isLimited reports whether the server is cold and accepts a limited rate.
+func (s *Server) isLimited(now time.Time) bool { return s.ColdRate > 0 && now.Before(s.WarmupUntil) }
+
 // ServiceRoute holds the backend servers of one service and, for a keyed service, the owners of its keys.
 type ServiceRoute struct {
 	IsKeyed bool
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -89,6 +89,7 @@
 	loadMeter      loadMeter
 	usageMeter     usageMeter
 	permit         permitInputs
+	warmup         warmupState
 	// isRecordReadDue is set while the ownership machine waits for a read of the record that has not been started. A
 	// service without keys has no record, so the read waits for the configuration.
 	isRecordReadDue bool
@@ -200,6 +201,7 @@
 	c.pushReports()
 	c.gossipTick(now)
 	c.updateDataPlane(now)
+	c.checkWarmup(now)
 	c.reportUsage(now)
 	c.expireReports(now)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,6 +102,9 @@
 		d.control.brokenCall.Store(&brokenCall{instance: instance, at: o.BootClock.Now()})
 	})
 	d.runner.ObserveAbandoned(d.observer.callAbandoned)
+	d.runner.ObserveWarmup(backend.WarmupObserver{
+		Rejected: d.observer.rejectedWhileCold, Suspected: d.observer.restartSuspected,
+	})
 	d.runner.Quarantine(d.quarantine, s.Host, d.crashReported)
 	d.nesting = dependency.NewTracker(s.Service, d.observer.nestingObserver(), o.Clock, seed)
 	d.runner.FollowNesting(d.nesting)
@@ -123,6 +126,7 @@
 		d.observer.attemptFailed, o.Clock, seed)
 	relay.HoldBack(d.quarantine)
 	relay.ObserveOffers(newOfferObserver(d.observer).offered)
+	relay.ObserveCold(d.observer.counter("warmup.passed_over").inc)
 	relay.AvoidLeavingServers(platform.Headers().Leaving, usableDrainTime(s.Backend.DrainTime))
 	d.callerHandler = caller.NewHandler(relay, s.Service, platform.Headers(), d.observer.callFinished, o.Clock)
 	d.callerHandler.LimitMemory(d.bodyMemory)
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -306,7 +306,7 @@
 ) {
 	var changed []membership.Announcement
 	for _, a := range announcements {
-		result := c.roster.ApplyAnnouncement(now, a)
+		result := c.applyAnnouncement(now, a)
 		if result == membership.Changed {
 			c.isDirty = true
 			changed = append(changed, a)
@@ -340,7 +340,7 @@
 	a.IsStoreUnreachable = c.isStoreUnreachable()
 	a.IsReady = a.IsReady && !c.isShuttingDown
 	update := peer.Update{Announcements: []membership.Announcement{a}}
-	isChange := c.roster.ApplyAnnouncement(now, a) == membership.Changed
+	isChange := c.applyAnnouncement(now, a) == membership.Changed
 	if isChange {
 		c.isDirty = true
 	}
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
@@ -31,6 +32,7 @@
 			Instance:       a.Instance,
 			Concurrency:    a.Concurrency,
 			WarmupUntil:    clockTime(c.clock, now, h.AnnouncedAt.Add(time.Duration(a.WarmupMS)*time.Millisecond)),
+			ColdRate:       c.coldRate(service),
 		})
 	}
 	routes := caller.Routes{}
@@ -67,6 +69,7 @@
 			Instance:    h.Announcement.Instance,
 			Concurrency: h.Announcement.Concurrency,
 			Load:        h.Announcement.Load,
+			ColdShare:   c.coldShare(now, h),
 		})
 	}
 	c.runOwnershipEffects(now, c.machine.SetPeers(now, peers))
@@ -94,6 +97,7 @@
 	isKeyed     bool
 	concurrency int
 	client      *backend.Client
+	warmup      admission.WarmupLimit
 }
 
 // updatePermit updates the permit of the runner, which states what work the backend server may get.
@@ -110,6 +114,7 @@
 		isKeyed:     c.isKeyed(),
 		concurrency: s.heartbeat.Concurrency,
 		client:      s.client,
+		warmup:      c.warmupLimit(c.service),
 	}
 	if next == c.permit {
 		return
@@ -125,6 +130,8 @@
 		Keys:           keys,
 		KeysValidUntil: clockTime(c.clock, now, until),
 		Concurrency:    s.heartbeat.Concurrency,
+		Warmup:         next.warmup,
+		ColdUntil:      clockTime(c.clock, now, s.warmupUntil),
 	}, s.client)
 }
 
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -183,7 +183,7 @@
 	s.heartbeat = heartbeat
 	c.applyDeparture(now)
 	s.heartbeatAt = now
-	s.warmupUntil = now.Add(heartbeat.WarmupLeft)
+	c.applyWarmup(now, heartbeat, isNew)
 	state := ownership.ServerReady
 	if s.usableUntil != 0 {
 		state = ownership.ServerDraining
@@ -235,6 +235,7 @@
 	c.server.client = backend.NewClient(heartbeat.Address, heartbeat.Concurrency, platform.Headers(),
 		c.observer.counter("backend.connections").inc, c.clock)
 	c.server.client.LimitMemory(c.daemon.bodyMemory)
+	c.server.client.ObserveIdleClosed(c.idleConnectionClosed)
 }
 
 // setServer changes the state of the backend server.
--- a/link/link.go
+++ b/link/link.go
@@ -93,6 +93,8 @@
 
 	memory *Memory
 	active atomic.Int64
+	// onIdleClosed is called for an idle connection that the other side has closed before its idle timeout, if set.
+	onIdleClosed func()
 
 	mu       sync.Mutex
 	idle     []*conn
@@ -175,6 +177,10 @@
 // bound. It must be called before the first request.
 func (p *Pool) LimitMemory(m *Memory) { p.memory = m }
 
+// ObserveIdleClosed sets the function that is called for an idle connection that cannot be reused, because the other side
+// has closed it before its idle timeout or has sent surplus bytes. It must be called before the first request.
+func (p *Pool) ObserveIdleClosed(onIdleClosed func()) { p.onIdleClosed = onIdleClosed }
+
 // Active returns the number of requests that are in progress on open connections.
 func (p *Pool) Active() int { return int(p.active.Load()) }
 
@@ -185,10 +191,14 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if p.clock.Now().Before(c.idleUntil) && c.isClean() {
+		isExpired := !p.clock.Now().Before(c.idleUntil)
+		if !isExpired && c.isClean() {
 			return c, nil
 		}
 		_ = c.Close() // it may already be closed
+		if !isExpired && p.onIdleClosed != nil {
+			p.onIdleClosed()
+		}
 	}
 }
 
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -42,6 +42,9 @@
 	Concurrency int
 	// Load is the average number of requests running on the backend server.
 	Load float64
+	// ColdShare is the share of its usual requests that a cold backend server accepts, or zero if it is not known to be
+	// cold.
+	ColdShare float64
 }
 
 // keyHold is the hold that a backend server may have on a key.
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -140,7 +140,7 @@
 	for i, p := range m.peers {
 		candidates[i].Load = p.Load
 		if p.IsPresent && p.IsEligible && p.Host != exclude {
-			candidates[i].Capacity = 1
+			candidates[i].Capacity = warmupFactor(r, p)
 		}
 		if index := r.MemberIndex(p.Host); index != NoMember {
 			candidates[i].Keys = keys[index]
--- a/ownership/types.go
+++ b/ownership/types.go
@@ -76,7 +76,9 @@
 	Sequence   uint64
 	IsDraining bool
 	// WarmupLeft is the remaining time during which the backend server is slow after its start.
+	// It is valid only if WarmupErr, which reports a figure that cannot be used, is nil.
 	WarmupLeft time.Duration
+	WarmupErr  error
 	Holds      []Hold
 	Released   []Release
 }
