feat(standin): servers are cold after their start and crash above the rate

The daemon checks a busy server once it got half of what a cold one may get in a second, so that it learns within some ten milliseconds that the server has become cold.

--- a/admission/warmup.go
+++ b/admission/warmup.go
@@ -58,8 +58,6 @@
 	bucket *rate.Limiter
 	// starts holds the times of the last starts, at most limit.Most of them.
 	starts []time.Time
-	// started counts all starts.
-	started uint64
 	// promised is the latest time at which a rejected caller was asked to return.
 	promised time.Time
 }
@@ -121,7 +119,6 @@
 	if w.limit.IsZero() {
 		return
 	}
-	w.started++
 	w.starts = append(w.starts, now)
 	w.trim()
 	if w.isCold(now) {
@@ -171,13 +168,6 @@
 	return min(1, float64(limit.Rate)*p.MeanServiceTime().Seconds()/float64(max(1, concurrency)))
 }
 
-// Started returns the number of jobs that have started since a limit for cold servers was set.
-func (c *Controller) Started() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.warmup.started
-}
-
 // IsCold reports whether the backend server is limited because it is cold.
 func (c *Controller) IsCold() bool {
 	c.mu.Lock()
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -65,11 +65,13 @@
 // Runner runs calls on the backend server of this host, within the permit and the concurrency limit. It is safe for
 // concurrent use.
 type Runner struct {
-	clock       clockwork.Clock
-	controller  *admission.Controller
-	current     atomic.Pointer[activePermit]
-	running     atomic.Int64
-	isRejecting atomic.Bool
+	clock      clockwork.Clock
+	controller *admission.Controller
+	current    atomic.Pointer[activePermit]
+	running    atomic.Int64
+	// sentSinceCheck counts the calls that were sent to a server with a limit while cold since its last check.
+	sentSinceCheck atomic.Int64
+	isRejecting    atomic.Bool
 	// end is when this daemon ends, or nil if it is not known.
 	end atomic.Pointer[time.Time]
 	// onUnreachable is called when a call could not connect to the server's address. It must not block.
@@ -154,6 +156,7 @@
 		warmupObserver: WarmupObserver{
 			Rejected:  func(call.Call, time.Duration) {},
 			Suspected: func(ownership.Instance, string) {},
+			CheckDue:  func() {},
 		},
 	}
 	r.current.Store(&activePermit{replaced: make(chan struct{})})
@@ -400,6 +403,7 @@
 	}
 	ctx, cancel := clockwork.WithDeadline(ctx, r.clock, c.Deadline)
 	defer cancel()
+	r.countForCheck(permit)
 	r.running.Add(1)
 	endRun := r.observeRun(c)
 	result := permit.client.Do(ctx, c, permit.Instance)
--- a/backend/warmup.go
+++ b/backend/warmup.go
@@ -17,6 +17,8 @@
 	Rejected func(c call.Call, retryAfter time.Duration)
 	// Suspected is called when a server that counted as warm may have restarted, for the given reason.
 	Suspected func(instance ownership.Instance, reason string)
+	// CheckDue is called when the server has got so many calls that it should be checked whether it has become cold.
+	CheckDue func()
 }
 
 // ObserveWarmup sets the observer of decisions about a cold server. It must be called before the first call.
@@ -40,8 +42,22 @@
 	}
 }
 
-// Started returns the number of calls that have started on servers with a limit while cold.
-func (r *Runner) Started() uint64 { return r.controller.Started() }
+// checkShare is the share of the requests that a cold server may get in a second after which a warm one is checked.
+// Without the checks, a busy server that becomes cold would get hundreds of requests before its next heartbeat.
+const checkShare = 0.5
+
+// countForCheck counts a call that is sent to the server, and reports when enough were sent for the next check.
+func (r *Runner) countForCheck(permit *activePermit) {
+	if permit.Warmup.IsZero() {
+		return
+	}
+	if r.sentSinceCheck.Add(1) == int64(max(1, checkShare*float64(permit.Warmup.Most))) {
+		r.warmupObserver.CheckDue()
+	}
+}
+
+// CheckBegins records that a check of the server's warm-up begins.
+func (r *Runner) CheckBegins() { r.sentSinceCheck.Store(0) }
 
 // ColdShare returns the share of its usual requests that a cold server with the given concurrency accepts.
 func (r *Runner) ColdShare(limit admission.WarmupLimit, concurrency int) float64 {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -103,7 +103,9 @@
 	})
 	d.runner.ObserveAbandoned(d.observer.callAbandoned)
 	d.runner.ObserveWarmup(backend.WarmupObserver{
-		Rejected: d.observer.rejectedWhileCold, Suspected: d.observer.restartSuspected,
+		Rejected:  d.observer.rejectedWhileCold,
+		Suspected: d.observer.restartSuspected,
+		CheckDue:  func() { d.control.requestCheck() },
 	})
 	d.runner.Quarantine(d.quarantine, s.Host, d.crashReported)
 	d.nesting = dependency.NewTracker(s.Service, d.observer.nestingObserver(), o.Clock, seed)
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -235,7 +235,7 @@
 	c.server.client = backend.NewClient(heartbeat.Address, heartbeat.Concurrency, platform.Headers(),
 		c.observer.counter("backend.connections").inc, c.clock)
 	c.server.client.LimitMemory(c.daemon.bodyMemory)
-	c.server.client.ObserveIdleClosed(c.idleConnectionClosed)
+	c.server.client.ObserveIdleClosed(c.requestCheck)
 }
 
 // setServer changes the state of the backend server.
--- a/daemon/warmup.go
+++ b/daemon/warmup.go
@@ -20,11 +20,12 @@
 	// heartbeatTransit is the longest time that a heartbeat is assumed to take until it is processed. One that arrives
 	// sooner after a broken connection may be from before it.
 	heartbeatTransit = 200 * time.Millisecond
-	// checkShare is the share of the requests that a cold server may get in a second after which a warm one is checked.
-	// Without the checks, a busy server that becomes cold would get hundreds of requests before its next heartbeat.
-	checkShare = 0.5
 	// checkTimeout bounds a health check. A full server may never answer it.
 	checkTimeout = 250 * time.Millisecond
+	// minCheckInterval bounds the cost of the checks of a server with hundreds of calls a second, and suspicionInterval is
+	// how often a server that may have restarted is checked.
+	minCheckInterval  = 20 * time.Millisecond
+	suspicionInterval = 100 * time.Millisecond
 	// minColdShare bounds the share of its usual requests that a cold server is assumed to accept.
 	minColdShare = 0.02
 )
@@ -34,8 +35,7 @@
 	// isCold is whether the server last stated to be cold, as it was logged and announced.
 	isCold     bool
 	isChecking bool
-	// startedAtCheck is the number of calls that had started on the server at the last check.
-	startedAtCheck uint64
+	checkedAt  ownership.Instant
 	// isCheckRequested is set by the goroutines of calls.
 	isCheckRequested atomic.Bool
 }
@@ -92,14 +92,15 @@
 		c.observer.warmupChanged(s.heartbeat.Instance, c.permit.warmup, cold.Left)
 		c.announce(now)
 	}
-	started := c.runner.Started()
-	isDue := float64(started-w.startedAtCheck) >= checkShare*float64(c.permit.warmup.Most)
 	path := c.config.Services[c.service].HealthPath
-	if w.isChecking || path == "" || s.isClosed() || !isDue && !cold.IsSuspected && !w.isCheckRequested.Load() {
+	isDue := w.isCheckRequested.Load() && now.Sub(w.checkedAt) >= minCheckInterval ||
+		cold.IsSuspected && now.Sub(w.checkedAt) >= suspicionInterval
+	if !isDue || w.isChecking || path == "" || s.isClosed() {
 		return
 	}
-	w.isChecking, w.startedAtCheck = true, started
+	w.isChecking, w.checkedAt = true, now
 	w.isCheckRequested.Store(false)
+	c.runner.CheckBegins()
 	c.checkHealth(path)
 }
 
@@ -114,8 +115,9 @@
 		if statement != nil {
 			c.runner.StateWarmup(instance, *statement)
 		}
-		return func(ownership.Instant) {
+		return func(now ownership.Instant) {
 			c.warmup.isChecking = false
+			defer c.checkWarmup(now)
 			if _, isInvalid := err.(*call.WarmupError); isInvalid {
 				c.observer.inputRejected("backend server", err)
 			} else if err != nil {
@@ -125,9 +127,17 @@
 	})
 }
 
-// idleConnectionClosed is called when the server closed an idle connection, which it also does when it restarts. It may be
-// called from any goroutine.
-func (c *control) idleConnectionClosed() { c.warmup.isCheckRequested.Store(true) }
+// requestCheck requests a health check: the server got many calls since the last one, or closed an idle connection, which
+// it also does when it restarts. It may be called from any goroutine and does not block.
+func (c *control) requestCheck() {
+	if c.warmup.isCheckRequested.Swap(true) {
+		return
+	}
+	select {
+	case c.inbox <- c.checkWarmup:
+	default: // the inbox is full; the next tick starts the check
+	}
+}
 
 // applyAnnouncement applies an announcement. If the service limits its cold servers, routes change also when the server has
 // become cold, or warm sooner than announced.
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -64,6 +64,7 @@
 			"hold":       holdHeartbeat,
 			"deliver":    deliverHeartbeats,
 			"limit":      limitServer,
+			"cool":       coolServer,
 			"freeze":     forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGSTOP) }),
 			"thaw":       forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGCONT) }),
 			"reload":     forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGHUP) }),
@@ -88,11 +89,14 @@
 	return ts.Value(sessionKey{}).(*scriptSession)
 }
 
-// startDeployment implements "deployment lorient|dakar": it starts a deployment and waits until all classes are served.
+// startDeployment implements "deployment lorient|dakar|dakar_cold": it starts a deployment and waits until all classes are served.
 func startDeployment(ts *testscript.TestScript, _ bool, args []string) {
 	plan := deployment.Lorient()
-	if args[0] == "dakar" {
+	switch args[0] {
+	case "dakar":
 		plan = deployment.Dakar()
+	case "dakar_cold":
+		plan = deployment.WithColdServers(deployment.Dakar())
 	}
 	d, err := deployment.Start(plan, ts.Getenv("RELAY"), ts.MkAbs("."))
 	if d != nil {
@@ -177,6 +181,15 @@
 	}
 }
 
+// coolServer implements "cool DURATION HOST...", which makes the hosts' backend servers cold.
+func coolServer(ts *testscript.TestScript, _ bool, args []string) {
+	duration, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	for _, h := range hostsByArgs(ts, args[1:]) {
+		h.CoolServer(duration)
+	}
+}
+
 // deadlyInterval is the pause between two requests that crash servers, and maxDeadlyCrashes how many servers the same
 // request may crash.
 const (
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -44,6 +44,8 @@
 	responseLossRatio = 0.35
 	// drainDuration is how long a draining backend server keeps running before it stops.
 	drainDuration = 2500 * time.Millisecond
+	// coldDuration is how long a server is cold that becomes so under load.
+	coldDuration = 3 * time.Second
 	// leavingCallers is the number of callers that leave while a daemon is stopped.
 	leavingCallers = 40
 	// heartbeatDelay is by how much a heartbeat is late after the restart of its daemon.
@@ -107,18 +109,25 @@
 		{name: "store compacts", inject: compactStore},
 		{name: "store restored", delaysConfig: everywhere, inject: copyStore, revert: restoreStore},
 		{name: "configuration", inject: publishConfig},
+		{name: coldFault, inject: coolServer},
 	}
 }
 
-// faultNames returns the names of all faults, in the order of the list.
-func faultNames() []string {
+// faultNames returns the names of the faults of a plan, in the order of the list. The fault of cold servers is left out of
+// plans without them, so that their schedules remain the same.
+func faultNames(plan deployment.Plan) []string {
 	var names []string
 	for _, f := range faults() {
-		names = append(names, f.name)
+		if f.name != coldFault || plan.Config.IsLoadAware() {
+			names = append(names, f.name)
+		}
 	}
 	return names
 }
 
+// coldFault is the name of the fault in which a server becomes cold.
+const coldFault = "server cold"
+
 func faultByName(name string) fault {
 	all := faults()
 	return all[slices.IndexFunc(all, func(f fault) bool { return f.name == name })]
@@ -196,6 +205,8 @@
 	}
 }
 
+func coolServer(_ *runner, h *deployment.Host) { h.CoolServer(coldDuration) }
+
 func startServer(r *runner, h *deployment.Host) {
 	r.withHostLock(h, func() {
 		if !h.HasServer() {
--- a/soak/run.go
+++ b/soak/run.go
@@ -110,7 +110,7 @@
 	if _, err := r.awaitServing(startTimeout); err != nil {
 		return Result{}, err
 	}
-	result := Result{Steps: NewSchedule(o.Seed, o.FaultDuration, len(d.Hosts), faultNames())}
+	result := Result{Steps: NewSchedule(o.Seed, o.FaultDuration, len(d.Hosts), faultNames(o.Plan))}
 	load := d.StartLoadWithInterval(o.CallInterval)
 	monitorDone := make(chan struct{})
 	monitorCtx, stopMonitor := context.WithCancel(ctx)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,7 +21,7 @@
 	firstSeed     = flag.Uint64("soak.first", 1, "first seed; 0 takes each seed from the clock")
 	seedCount     = flag.Int("soak.seeds", 2, "number of seeds to run")
 	faultDuration = flag.Duration("soak.length", 8*time.Second, "how long faults are injected in each run")
-	planName      = flag.String("soak.plan", "lorient", "deployment plan: lorient, dakar, or a number of hosts")
+	planName      = flag.String("soak.plan", "lorient", "deployment plan: lorient, dakar, dakar_cold, or a number of hosts")
 	logDir        = flag.String("soak.logs", "", "directory to copy the files of failed runs to; empty keeps none")
 )
 
@@ -39,10 +39,12 @@
 		return deployment.Lorient(), callInterval
 	case "dakar":
 		return deployment.Dakar(), callInterval
+	case "dakar_cold":
+		return deployment.WithColdServers(deployment.Dakar()), callInterval
 	}
 	hosts, err := strconv.Atoi(*planName)
 	if err != nil {
-		t.Fatalf("soak.plan: got %s, expected lorient, dakar or a number of hosts", *planName)
+		t.Fatalf("soak.plan: got %s, expected lorient, dakar, dakar_cold or a number of hosts", *planName)
 	}
 	return deployment.Wide(hosts), callInterval * time.Duration(max(1, hosts/12))
 }
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -249,6 +249,7 @@
 		heartbeatAddress:  h.address(heartbeatPort),
 		instance:          ownership.Instance{ID: fmt.Sprintf("i-%s-%d", h.ID, number), Born: time.Now().UnixMilli()},
 		checker:           d.Checker,
+		warmup:            warmup{settings: d.plan.Config.Services[h.Group.Service], onCrash: h.CrashServer},
 		headers:           platform.Headers(),
 		onDeadly: func() {
 			d.deadlyCrashes.Add(1)
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -56,6 +56,7 @@
 	headers           call.HeaderNames
 	slots             chan struct{}
 	notices           notices
+	warmup            warmup
 	// onDeadly is called when the server has begun to run a request that crashes it.
 	onDeadly func()
 
@@ -89,6 +90,8 @@
 	s.done = make(chan struct{})
 	s.slots = make(chan struct{}, concurrency)
 	s.notices = notices{instance: s.instance, checker: s.checker}
+	s.warmup.instance, s.warmup.checker = s.instance, s.checker
+	s.warmup.cool(s.warmup.settings.WarmupTime)
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: heartbeatTimeout}
 	go func() { _ = s.http.Serve(listener) }() // returns when crash closes the server
 	go s.heartbeatLoop(ctx)
@@ -208,6 +211,7 @@
 		Sequence:    s.sequence,
 		IsDraining:  s.draining,
 		Released:    s.released,
+		WarmupLeft:  s.warmup.left(),
 	}
 	now := time.Now()
 	for span, hold := range s.holds.Runs() {
@@ -278,6 +282,9 @@
 // ServeHTTP executes one request if it is addressed to this instance of the server and, for a keyed service, to a key
 // that the server holds.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.warmup.serveHealth(w, r, s.headers) {
+		return
+	}
 	header := w.Header()
 	id := r.Header.Get(s.headers.RequestID)
 	header.Set(s.headers.RequestID, id)
@@ -285,6 +292,9 @@
 		s.reject(w, http.StatusMisdirectedRequest)
 		return
 	}
+	if !s.warmup.arrive(id) {
+		panic(http.ErrAbortHandler) // closes the connection without a response
+	}
 	s.notices.state(id, header, s.headers)
 	if !s.acquireSlot(r) {
 		s.reject(w, http.StatusServiceUnavailable)
--- /dev/null
+++ b/standin/deployment/warmup.go
@@ -0,0 +1,103 @@
+package deployment
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/class"
+	"github.com/skylarkrelay/skylarkrelay/ownership"
+)
+
+const (
+	// warmupOverage and warmupSlack are the tolerance of cold servers: in each second one survives warmupOverage times what
+	// its rate permits, and warmupSlack requests more. They equal the defaults of the daemon's settings.
+	warmupOverage = 1.5
+	warmupSlack   = 8
+)
+
+// warmup is the warm-up of a stand-in server. A cold server that gets too many requests crashes.
+type warmup struct {
+	settings class.ServiceSettings
+	instance ownership.Instance
+	checker  *InvariantChecker
+	// onCrash is called when the server crashes. It is called once.
+	onCrash func()
+
+	mu        sync.Mutex
+	until     time.Time
+	arrivals  []time.Time
+	isCrashed bool
+}
+
+// cool makes the server cold for the given time, as if it had just started.
+func (w *warmup) cool(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.settings.WarmupRate > 0 {
+		w.until, w.arrivals = time.Now().Add(d), nil
+	}
+}
+
+// left returns how long the server remains cold.
+func (w *warmup) left() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(0, time.Until(w.until))
+}
+
+// arrive counts a request, and reports whether the server survives it.
+func (w *warmup) arrive(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.isCrashed {
+		return false
+	}
+	if !now.Before(w.until) {
+		return true
+	}
+	w.arrivals = append(w.arrivals, now)
+	for now.Sub(w.arrivals[0]) >= time.Second {
+		w.arrivals = w.arrivals[1:]
+	}
+	if float64(len(w.arrivals)) <= warmupOverage*w.settings.WarmupRate+warmupSlack {
+		return true
+	}
+	w.isCrashed = true
+	w.checker.ReportViolation("request %s is number %d in a second at %s, which is cold and accepts %g per second",
+		id, len(w.arrivals), w.instance, w.settings.WarmupRate)
+	go w.onCrash()
+	return false
+}
+
+// serveHealth answers a health check, and reports whether the request is one.
+func (w *warmup) serveHealth(out http.ResponseWriter, r *http.Request, names call.HeaderNames) bool {
+	if r.URL.Path != w.settings.HealthPath {
+		return false
+	}
+	out.Header().Set(names.Warmup, strconv.FormatInt(w.left().Milliseconds(), 10))
+	return true
+}
+
+// CoolServer makes the host's backend server, if one runs, cold for the given time.
+func (h *Host) CoolServer(d time.Duration) {
+	if server := h.currentServer(); server != nil {
+		server.warmup.cool(d)
+	}
+}
+
+// WithColdServers returns a plan whose servers are cold after their start. The rates suit the load of a session.
+func WithColdServers(plan Plan) Plan {
+	plan.Name += "_cold"
+	config := *plan.Config
+	config.Services = map[class.Service]class.ServiceSettings{}
+	for name, s := range plan.Config.Services {
+		s.WarmupTime, s.WarmupRate = 2*time.Second, 20
+		config.Services[name] = s
+	}
+	plan.Config = &config
+	return plan
+}
