feat(backend): servers that hang get fewer calls, and calls leave them in time

A full server never answers a request that it cannot queue. A call that was given up freed its slot at once while the server was still at work, so that the server got more than it can run, and idempotent calls waited for it until their deadline. In load-aware configurations a call keeps its slot until the server answers or the deadline passes, consecutive timeouts lower the concurrency limit down to one, and idempotent calls without a key are sent elsewhere while their latency target is left, within the retry budget.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -273,6 +273,28 @@
 	})
 }
 
+// TimedOut ends the ticket of a call that the server did not answer until its deadline. It returns the concurrency limit
+// and whether the call has lowered it. A call that had less time than its latency target and unanswerableFactor times its
+// usual run time shows nothing about the server.
+func (t *Ticket) TimedOut(latency time.Duration) (limit int, isLowered bool) {
+	t.finish(func(now time.Time) {
+		c := t.controller
+		waited := now.Sub(t.startedAt)
+		if waited >= max(latency, unanswerableFactor*c.policy.ServiceTime(t.job.Class)) {
+			before := c.limit.Current()
+			c.limit.TimedOut()
+			isLowered = c.limit.Current() < before
+		}
+		c.policy.Done(now, t.job, waited)
+		limit = c.limit.Current()
+	})
+	return limit, isLowered
+}
+
+// unanswerableFactor is the multiple of its usual run time that a call must have had for its timeout to count against the
+// server.
+const unanswerableFactor = 3
+
 // Shed ends the ticket of a call that the server rejected for lack of capacity.
 func (t *Ticket) Shed() { t.finish(func(time.Time) { t.controller.limit.Shed() }) }
 
--- a/backend/nesting.go
+++ b/backend/nesting.go
@@ -10,8 +10,10 @@
 // FollowNesting sets the tracker of nested calls. It must be called before the first call.
 func (r *Runner) FollowNesting(t *dependency.Tracker) { r.nesting = t }
 
-// SetLoadAware sets whether the configuration in force is load-aware. Without that, nested calls are treated like others.
+// SetLoadAware sets whether the configuration in force is load-aware. Without that, nested calls are treated like others,
+// and calls whose callers leave end at once.
 func (r *Runner) SetLoadAware(isLoadAware bool) {
+	r.isLoadAware.Store(isLoadAware)
 	r.controller.SetLoadAware(isLoadAware)
 	r.returns.setActive(isLoadAware)
 	if r.nesting != nil {
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -80,6 +80,9 @@
 	onBroken func(ownership.Instance)
 	// onAbandoned is called for a call whose caller left before it was sent. It must not block.
 	onAbandoned func(AbandonedCall)
+	// onUnanswered is called for a call that the server did not answer until its deadline. It must not block.
+	onUnanswered func(UnansweredCall)
+	isLoadAware  atomic.Bool
 	// isAssigned is nil if calls never wait for their key.
 	isAssigned     AssignmentCheck
 	noticeObserver NoticeObserver
@@ -143,6 +146,7 @@
 		onUnreachable: onUnreachable,
 		onBroken:      func(ownership.Instance) {},
 		onAbandoned:   func(AbandonedCall) {},
+		onUnanswered:  func(UnansweredCall) {},
 		demand:        map[class.Key]time.Duration{},
 		stated:        newNotices(),
 		quarantine:    quarantine.NewList(clock),
@@ -401,8 +405,17 @@
 		ticket.Cancel()
 		return call.NotRun(call.NotOwner)
 	}
+	if r.isLoadAware.Load() {
+		return r.runDetached(ctx, c, ticket, permit)
+	}
 	ctx, cancel := clockwork.WithDeadline(ctx, r.clock, c.Deadline)
 	defer cancel()
+	return r.send(ctx, c, ticket, permit)
+}
+
+// send sends a call to the server and ends the ticket.
+func (r *Runner) send(ctx context.Context, c call.Call, ticket *admission.Ticket, permit *activePermit) call.Result {
+	start := r.clock.Now()
 	r.countForCheck(permit)
 	r.running.Add(1)
 	endRun := r.observeRun(c)
@@ -422,6 +435,8 @@
 	}
 	r.addDemand(c, r.clock.Since(start))
 	switch {
+	case result.Reason == call.TimedOut && r.isLoadAware.Load():
+		r.endUnanswered(c, ticket, r.clock.Since(start))
 	case result.Reason == call.Shed:
 		ticket.Shed()
 	case result.Outcome == class.NotRun:
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -53,6 +53,8 @@
 	bounded      *boundedOffers
 	returns      *call.Returns
 	onOffer      func(Offer)
+	answerTimes  *answerTimes
+	onResend     func(Resend)
 	leaving      leavingServers
 	quarantine   *quarantine.List
 	onUnanswered func(Attempt)
@@ -74,6 +76,8 @@
 		bounded:      newBoundedOffers(clock, seed),
 		returns:      call.NewReturns(clock),
 		onOffer:      func(Offer) {},
+		answerTimes:  newAnswerTimes(),
+		onResend:     func(Resend) {},
 		quarantine:   quarantine.NewList(clock),
 		leaving:      leavingServers{clock: clock, since: map[ownership.HostID]leavingServer{}},
 		onUnanswered: onUnanswered,
@@ -98,6 +102,7 @@
 	r.balancer.prune(routes)
 	r.leaving.prune(routes)
 	r.bounded.prune(routes)
+	r.answerTimes.prune(routes)
 }
 
 // callState is the state of one call across its attempts.
@@ -126,6 +131,10 @@
 	rejections int
 	retryAfter time.Duration
 	lastResult call.Result
+	// isResent reports whether the last attempt was given up so that the call is sent to another server, and isPaid whether
+	// the next attempt has been paid for from the retry budget.
+	isResent bool
+	isPaid   bool
 	// mayHaveRun reports whether the outcome of any attempt was unknown.
 	mayHaveRun bool
 }
@@ -167,9 +176,10 @@
 		if r.isHeld(state) {
 			return r.finalResult(ctx, state)
 		}
-		if state.sentAttempts > 0 && !r.budget.Spend(c.Service) {
+		if state.sentAttempts > 0 && !state.isPaid && !r.budget.Spend(c.Service) {
 			return r.finalResult(ctx, state)
 		}
+		state.isPaid = false
 		r.attempt(ctx, target, state)
 		if state.call.HasKey && state.lastResult.Reason == call.NotOwner {
 			state.recordRefusal(target.Host, route.fence(state.call.Key))
@@ -259,8 +269,11 @@
 	state.call.IsRetry = state.sentAttempts > 0
 	endCall := r.balancer.begin(target.Host)
 	start := r.clock.Now()
-	result := r.sender.Send(ctx, target, state.call)
+	result := r.send(ctx, target, state)
 	endCall(result)
+	if result.Outcome == class.Answered && r.bounded.isActive.Load() {
+		r.answerTimes.record(offerKey{service: state.call.Service, class: state.call.Class.Name}, r.clock.Since(start))
+	}
 	r.leaving.observe(target, result)
 	state.lastResult = result
 	state.triedHosts[target.Host] = true
@@ -297,6 +310,10 @@
 
 // chooseAction decides whether to retry, from the result of the last attempt.
 func (r *Relay) chooseAction(state *callState) retryAction {
+	if state.isResent {
+		state.isResent = false
+		return retryNow
+	}
 	hasAttempts := state.sentAttempts < state.call.Class.Attempts
 	switch state.lastResult.Outcome {
 	case class.NotRun:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,6 +102,7 @@
 		d.control.brokenCall.Store(&brokenCall{instance: instance, at: o.BootClock.Now()})
 	})
 	d.runner.ObserveAbandoned(d.observer.callAbandoned)
+	d.runner.ObserveUnanswered(d.observer.callUnanswered)
 	d.runner.ObserveWarmup(backend.WarmupObserver{
 		Rejected:  d.observer.rejectedWhileCold,
 		Suspected: d.observer.restartSuspected,
@@ -128,6 +129,7 @@
 		d.observer.attemptFailed, o.Clock, seed)
 	relay.HoldBack(d.quarantine)
 	relay.ObserveOffers(newOfferObserver(d.observer).offered)
+	relay.ObserveResends(d.observer.callResent)
 	relay.ObserveCold(d.observer.counter("warmup.passed_over").inc)
 	relay.AvoidLeavingServers(platform.Headers().Leaving, usableDrainTime(s.Backend.DrainTime))
 	d.callerHandler = caller.NewHandler(relay, s.Service, platform.Headers(), d.observer.callFinished, o.Clock)
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -64,7 +64,8 @@
 			"hold":       holdHeartbeat,
 			"deliver":    deliverHeartbeats,
 			"limit":      limitServer,
-			"cool":       coolServer,
+			"cool":       forTime((*deployment.Host).CoolServer),
+			"hang":       forTime((*deployment.Host).HangServer),
 			"freeze":     forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGSTOP) }),
 			"thaw":       forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGCONT) }),
 			"reload":     forEachHost(func(h *deployment.Host) { _ = h.SignalDaemon(syscall.SIGHUP) }),
@@ -181,12 +182,15 @@
 	}
 }
 
-// coolServer implements "cool DURATION HOST...", which makes the hosts' backend servers cold.
-func coolServer(ts *testscript.TestScript, _ bool, args []string) {
-	duration, err := time.ParseDuration(args[0])
-	ts.Check(err)
-	for _, h := range hostsByArgs(ts, args[1:]) {
-		h.CoolServer(duration)
+// forTime returns a command "NAME DURATION HOST..." that applies an action of the given duration to the hosts. "cool" makes
+// their backend servers cold, and "hang" makes them leave requests unanswered.
+func forTime(action func(*deployment.Host, time.Duration)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		duration, err := time.ParseDuration(args[0])
+		ts.Check(err)
+		for _, h := range hostsByArgs(ts, args[1:]) {
+			action(h, duration)
+		}
 	}
 }
 
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -296,7 +296,14 @@
 		panic(http.ErrAbortHandler) // closes the connection without a response
 	}
 	s.notices.state(id, header, s.headers)
+	if s.warmup.isHanging() {
+		hang(r)
+	}
 	if !s.acquireSlot(r) {
+		if s.warmup.settings.WarmupRate > 0 {
+			s.checker.ReportViolation("request %s reached %s, which has %d requests queued", id, s.instance, maxQueued)
+			hang(r)
+		}
 		s.reject(w, http.StatusServiceUnavailable)
 		return
 	}
--- a/standin/deployment/warmup.go
+++ b/standin/deployment/warmup.go
@@ -28,6 +28,7 @@
 
 	mu        sync.Mutex
 	until     time.Time
+	hangUntil time.Time
 	arrivals  []time.Time
 	isCrashed bool
 }
@@ -82,6 +83,28 @@
 	return true
 }
 
+// isHanging reports whether the server leaves requests unanswered.
+func (w *warmup) isHanging() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.hangUntil)
+}
+
+// hang leaves a request unanswered, and the connection with it, until the other side closes it.
+func hang(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler) // closes the connection without a response
+}
+
+// HangServer makes the host's backend server, if one runs, leave the requests of the given time unanswered.
+func (h *Host) HangServer(d time.Duration) {
+	if server := h.currentServer(); server != nil {
+		server.warmup.mu.Lock()
+		defer server.warmup.mu.Unlock()
+		server.warmup.hangUntil = time.Now().Add(d)
+	}
+}
+
 // CoolServer makes the host's backend server, if one runs, cold for the given time.
 func (h *Host) CoolServer(d time.Duration) {
 	if server := h.currentServer(); server != nil {
