--- a/soak/faults.go
+++ b/soak/faults.go
@@ -46,6 +46,8 @@
 	drainDuration = 2500 * time.Millisecond
 	// coldDuration is how long a server is cold that becomes so under load.
 	coldDuration = 3 * time.Second
+	// hangDuration is how long a server leaves requests unanswered.
+	hangDuration = 1500 * time.Millisecond
 	// leavingCallers is the number of callers that leave while a daemon is stopped.
 	leavingCallers = 40
 	// heartbeatDelay is by how much a heartbeat is late after the restart of its daemon.
@@ -110,23 +112,29 @@
 		{name: "store restored", delaysConfig: everywhere, inject: copyStore, revert: restoreStore},
 		{name: "configuration", inject: publishConfig},
 		{name: coldFault, inject: coolServer},
+		{name: hangFault, inject: hangServer},
 	}
 }
 
-// faultNames returns the names of the faults of a plan, in the order of the list. The fault of cold servers is left out of
-// plans without them, so that their schedules remain the same.
+// faultNames returns the names of the faults of a plan, in the order of the list. The faults of cold servers and of those
+// that hang are left out of plans that are not load-aware, so that their schedules remain the same.
 func faultNames(plan deployment.Plan) []string {
 	var names []string
 	for _, f := range faults() {
-		if f.name != coldFault || plan.Config.IsLoadAware() {
+		isOfLoadAware := f.name == coldFault || f.name == hangFault
+		if !isOfLoadAware || plan.Config.IsLoadAware() {
 			names = append(names, f.name)
 		}
 	}
 	return names
 }
 
-// coldFault is the name of the fault in which a server becomes cold.
-const coldFault = "server cold"
+// coldFault is the name of the fault in which a server becomes cold, and hangFault that of the one in which it leaves
+// requests unanswered.
+const (
+	coldFault = "server cold"
+	hangFault = "server hangs"
+)
 
 func faultByName(name string) fault {
 	all := faults()
@@ -207,6 +215,8 @@
 
 func coolServer(_ *runner, h *deployment.Host) { h.CoolServer(coldDuration) }
 
+func hangServer(_ *runner, h *deployment.Host) { h.HangServer(hangDuration) }
+
 func startServer(r *runner, h *deployment.Host) {
 	r.withHostLock(h, func() {
 		if !h.HasServer() {
