--- a/backend/runner.go
+++ b/backend/runner.go
@@ -39,6 +39,10 @@
 	KeysValidUntil time.Time
 	// Concurrency is the number of calls that the server runs at a time.
 	Concurrency int
+	// Warmup is the limit while the server is cold. ColdUntil is when that ends, as the server stated in the heartbeat in
+	// which it was found; Runner.StateWarmup applies later statements.
+	Warmup    admission.WarmupLimit
+	ColdUntil time.Time
 }
 
 // allows reports whether a call may start at the given time.
@@ -62,11 +66,13 @@
 // Runner runs calls on the backend server of this host, within the permit and the concurrency limit. It is safe for
 // concurrent use.
 type Runner struct {
-	clock       clockwork.Clock
-	controller  *admission.Controller
-	current     atomic.Pointer[activePermit]
-	running     atomic.Int64
-	isRejecting atomic.Bool
+	clock      clockwork.Clock
+	controller *admission.Controller
+	current    atomic.Pointer[activePermit]
+	running    atomic.Int64
+	// sentSinceCheck counts the calls that were sent to a server with a limit while cold since its last check.
+	sentSinceCheck atomic.Int64
+	isRejecting    atomic.Bool
 	// end is when this daemon ends, or nil if it is not known.
 	end atomic.Pointer[time.Time]
 	// onUnreachable is called when a call could not connect to the server's address. It must not block.
@@ -75,9 +81,13 @@
 	onBroken func(ownership.Instance)
 	// onAbandoned is called for a call whose caller left before it was sent. It must not block.
 	onAbandoned func(AbandonedCall)
+	// onUnanswered is called for a call that the server did not answer until its deadline. It must not block.
+	onUnanswered func(UnansweredCall)
+	isLoadAware  atomic.Bool
 	// isAssigned is nil if calls never wait for their key.
 	isAssigned     AssignmentCheck
 	noticeObserver NoticeObserver
+	warmupObserver WarmupObserver
 	quarantine     *quarantine.List
 	// nesting is nil if nested calls are treated like others.
 	nesting  *dependency.Tracker
@@ -90,6 +100,8 @@
 	mu sync.Mutex
 	// stated is what the server at the current client stated about itself.
 	stated notices
+	// cold is what is known of whether the server at the current client is cold.
+	cold coldness
 	// lostCalls contains the calls whose connection to the server at the current client broke.
 	lostCalls []lostCall
 	// demand and totalDemand hold the run time that calls asked for, by key and in total, since TakeDemand last reset
@@ -136,6 +148,7 @@
 		onUnreachable: onUnreachable,
 		onBroken:      func(ownership.Instance) {},
 		onAbandoned:   func(AbandonedCall) {},
+		onUnanswered:  func(UnansweredCall) {},
 		demand:        map[class.Key]time.Duration{},
 		runTimes:      capacity.NewMeter(),
 		stated:        newNotices(),
@@ -147,6 +160,11 @@
 			Leaving:          func(string, class.RequestID) {},
 			Invalid:          func(error) {},
 		},
+		warmupObserver: WarmupObserver{
+			Rejected:  func(call.Call, time.Duration) {},
+			Suspected: func(ownership.Instance, string) {},
+			CheckDue:  func() {},
+		},
 	}
 	r.current.Store(&activePermit{replaced: make(chan struct{})})
 	return r
@@ -155,6 +173,11 @@
 // SetPermit replaces the permit and the client. Queued calls check again whether they may start.
 func (r *Runner) SetPermit(p Permit, client *Client) {
 	r.mu.Lock()
+	if client != r.current.Load().client {
+		r.cold = coldness{until: p.ColdUntil, statedAt: r.clock.Now()}
+	}
+	// The limit is set before the permit, so that no call starts on a new instance without it.
+	r.controller.SetWarmup(p.Warmup, r.cold.limitedUntil())
 	old := r.current.Swap(&activePermit{Permit: p, client: client, replaced: make(chan struct{})})
 	var lost []lostCall
 	if old.client != nil && client != old.client {
@@ -370,6 +393,9 @@
 	var rejected *admission.RejectedError
 	isDemand := errors.As(err, &rejected) && rejected.Reason != admission.Canceled &&
 		rejected.Reason != admission.WaitExceeded // another server runs the call
+	if rejected != nil && rejected.Reason == admission.Cold {
+		r.warmupObserver.Rejected(c, rejected.RetryAfter)
+	}
 	if isDemand {
 		r.addDemand(c, time.Duration(rejectedWeight*float64(r.controller.ServiceTime(c.Class.Name))))
 	}
@@ -383,14 +409,25 @@
 		ticket.Cancel()
 		return call.NotRun(call.NotOwner)
 	}
+	if r.isLoadAware.Load() {
+		return r.runDetached(ctx, c, ticket, permit)
+	}
 	ctx, cancel := clockwork.WithDeadline(ctx, r.clock, c.Deadline)
 	defer cancel()
+	return r.send(ctx, c, ticket, permit)
+}
+
+// send sends a call to the server and ends the ticket.
+func (r *Runner) send(ctx context.Context, c call.Call, ticket *admission.Ticket, permit *activePermit) call.Result {
+	start := r.clock.Now()
+	r.countForCheck(permit)
 	r.running.Add(1)
 	endRun := r.observeRun(c)
 	result := permit.client.Do(ctx, c, permit.Instance)
 	endRun()
 	r.running.Add(-1)
 	r.observeNotice(permit, c, start, result)
+	r.suspectAfter(permit, result)
 	switch {
 	case result.Reason == call.Unreachable:
 		r.onUnreachable()
@@ -404,6 +441,8 @@
 	r.addDemand(c, runTime)
 	r.observeRunTime(permit, c, runTime, result)
 	switch {
+	case result.Reason == call.TimedOut && r.isLoadAware.Load():
+		r.endUnanswered(c, ticket, r.clock.Since(start))
 	case result.Reason == call.Shed:
 		ticket.Shed()
 	case result.Outcome == class.NotRun:
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -46,6 +46,9 @@
 	// Capacity is how much the backend server completes with each of its slots in comparison with the mean of all. It is
 	// zero unless the configuration is load-aware. Keys are then divided regardless of it.
 	Capacity float64
+	// ColdShare is the share of its usual requests that a cold backend server accepts, or zero if it is not known to be
+	// cold.
+	ColdShare float64
 }
 
 // keyHold is the hold that a backend server may have on a key.
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -143,10 +143,10 @@
 	for i, p := range m.peers {
 		candidates[i].Load = p.Load
 		if p.IsPresent && p.IsEligible && p.Host != exclude {
-			candidates[i].Capacity = 1
+			candidates[i].Capacity = warmupFactor(r, p)
 			if p.Capacity > 0 {
 				candidates[i].Slots = float64(max(1, p.Concurrency))
-				candidates[i].Capacity = p.Capacity * candidates[i].Slots
+				candidates[i].Capacity *= p.Capacity * candidates[i].Slots
 			}
 		}
 		if index := r.MemberIndex(p.Host); index != NoMember {
