feat(evacuation): daemons follow the evacuations of failure domains

Operators put op/evacuate/DOMAIN into the store. The watchers of all domains read and spread it, beacons and digests repair losses, and deletions are replicated as well. Entry daemons choose no server of the domain, the daemon beside a server runs no new calls, and keys are handed over one server after the other. A daemon counts the time that is left for keys from when it was last certain that the domain was not evacuated.

A down store in a test now rejects lists too.

--- a/backend/runner.go
+++ b/backend/runner.go
@@ -24,6 +24,9 @@
 type Permit struct {
 	// IsUsable reports whether the server accepts new calls.
 	IsUsable bool
+	// IsKeysOnly reports whether the server accepts only calls for keys that it holds, because its failure domain is
+	// evacuated.
+	IsKeysOnly bool
 	// Instance is the ID of the server instance (one run of its process) that the calls are meant for, and ServerInstance
 	// that instance.
 	Instance       string
@@ -40,9 +43,14 @@
 	Concurrency int
 }
 
+// isUsableFor reports whether the server accepts a call if it holds the call's key.
+func (p *Permit) isUsableFor(c call.Call) bool {
+	return p.IsUsable && (!p.IsKeysOnly || p.IsKeyed && c.HasKey)
+}
+
 // allows reports whether a call may start at the given time.
 func (p *Permit) allows(now time.Time, c call.Call) bool {
-	if !p.IsUsable {
+	if !p.isUsableFor(c) {
 		return false
 	}
 	if !p.IsKeyed || !c.HasKey {
@@ -255,7 +263,7 @@
 			continue // the call before it may have ended the server
 		}
 		permit := r.current.Load()
-		if r.isRejected(c) || permit.client == nil || !permit.IsUsable {
+		if r.isRejected(c) || permit.client == nil || !permit.isUsableFor(c) {
 			return call.NotRun(call.NotOwner)
 		}
 		if !permit.allows(r.clock.Now(), c) {
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -236,9 +236,9 @@
 }
 
 // canWaitForOwner reports whether it is useful to wait for a server. Only the owner of a key is likely to change before
-// the call's deadline.
+// the call's deadline, and not while the servers of the service are all evacuated.
 func (r *Relay) canWaitForOwner(route *ServiceRoute, state *callState) bool {
-	return route != nil && route.IsKeyed && state.call.HasKey
+	return route != nil && route.IsKeyed && state.call.HasKey && !route.isEvacuated
 }
 
 // attempt sends the call once and records the result.
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -21,7 +21,10 @@
 	// IsShuttingDown reports whether the daemon is shutting down. Until it ends, it serves only calls for the keys that
 	// it still owns.
 	IsShuttingDown bool
-	Instance       ownership.Instance
+	// IsEvacuated reports whether the failure domain of the server is evacuated. While the server is usable, it serves only
+	// calls for the keys that it still owns.
+	IsEvacuated bool
+	Instance    ownership.Instance
 	// Concurrency is the number of calls that the server runs at a time.
 	Concurrency int
 	// WarmupUntil is the time until which the server is slow after its start.
@@ -35,13 +38,19 @@
 	// Record maps the keys of a keyed service to their owners. It is nil while unknown.
 	Record *ownership.Record
 	byHost map[ownership.HostID]*Server
+	// isEvacuated reports whether the failure domains of all servers are evacuated.
+	isEvacuated bool
 }
 
 // NewServiceRoute returns the route of a service with the given servers and ownership record.
 func NewServiceRoute(isKeyed bool, servers []Server, record *ownership.Record) *ServiceRoute {
-	r := &ServiceRoute{IsKeyed: isKeyed, Servers: servers, Record: record, byHost: map[ownership.HostID]*Server{}}
+	r := &ServiceRoute{
+		IsKeyed: isKeyed, Servers: servers, Record: record, byHost: map[ownership.HostID]*Server{},
+		isEvacuated: len(servers) > 0,
+	}
 	for i := range servers {
 		r.byHost[servers[i].Host] = &servers[i]
+		r.isEvacuated = r.isEvacuated && servers[i].IsEvacuated
 	}
 	return r
 }
--- a/daemon/beacon.go
+++ b/daemon/beacon.go
@@ -73,8 +73,9 @@
 	local, _ := c.peersByDomain()
 	c.beacon.nextAt = now.Add(beaconInterval(len(local)))
 	c.push(local, peer.Update{Beacon: &peer.Beacon{
-		Config:    c.replica.Get(platform.ConfigKey).Version,
-		IsFailing: c.beacon.isFailing,
+		Config:      c.replica.Get(platform.ConfigKey).Version,
+		IsFailing:   c.beacon.isFailing,
+		Evacuations: c.evacuationBeacon(now),
 	}})
 }
 
@@ -83,14 +84,14 @@
 	switch {
 	case b.IsFailing:
 		c.beacon.failingAt = now
-	case b.Config > c.replica.Get(platform.ConfigKey).Version:
+	case b.Config > c.replica.Get(platform.ConfigKey).Version || !c.confirmEvacuations(now, from, b.Evacuations):
 		c.pullNewer(from)
 	default:
 		c.beacon.confirmedAt = now
 	}
 }
 
-// isConfigUnconfirmed reports whether this daemon has to read the configuration, because nobody has confirmed for too long
+// isConfigUnconfirmed reports whether this daemon has to read the values of operators, because nobody has confirmed for too long
 // that it is the newest: the watcher may have ended, or be frozen or cut off.
 func (c *control) isConfigUnconfirmed(now ownership.Instant) bool {
 	b := &c.beacon
@@ -108,9 +109,9 @@
 	return silence > limit+time.Duration(min(rank, maxStaggeredRank))*beaconStagger
 }
 
-// confirmConfig reads the configuration in place of the watcher, and confirms it to the failure domain.
+// confirmConfig reads the values of operators in place of the watcher, and confirms it to the failure domain.
 func (c *control) confirmConfig(ctx context.Context) error {
-	err := c.readConfig(ctx)
+	err := c.readOperatorValues(ctx)
 	c.post(ctx, func(now ownership.Instant) {
 		b := &c.beacon
 		c.log.Info("configuration not confirmed by a watcher; read from the store", "silence_ms", now.Sub(b.confirmedAt).Milliseconds(),
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -78,6 +78,7 @@
 	// brokenCall is set by the goroutines of calls.
 	brokenCall        atomic.Pointer[brokenCall]
 	departure         departureState
+	evacuation        evacuationState
 	beacon            beaconState
 	pendingHeartbeat  pendingHeartbeat
 	expectedHandovers map[ownership.HostID]ownership.Instant
@@ -137,6 +138,7 @@
 		reportedRequests:  map[call.Fingerprint]bool{},
 		loadMeter:         newLoadMeter(o.Clock.Now()),
 		departure:         departureState{isKnown: make(chan struct{})},
+		evacuation:        newEvacuationState(d.settings.EvacuationTime),
 	}
 	c.gossip = newGossipState(o.BootClock.Now())
 	c.server = newServerState(d.settings, o.BootClock.Now())
@@ -150,6 +152,7 @@
 	c.ctx = ctx
 	c.notifier = peer.NewNotifier(ctx, c.daemon.settings.AdvertisedControlAddress(), c.daemon.registry)
 	c.readDeparture()
+	c.readEvacuations()
 	ticker := c.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -195,6 +198,7 @@
 	c.runRegistrarEffects(now, c.registrar.Tick(now))
 	c.applyLeavingNotice(now)
 	c.checkServer(now)
+	c.checkEvacuations(now)
 	c.measureLoad(now)
 	c.runOwnershipEffects(now, c.machine.Tick(now))
 	c.pushReports()
--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -125,19 +125,31 @@
 	}
 }
 
-// awaitDepartures waits until the newest departure is known, for departureReadTimeout at most.
-func (c *control) awaitDepartures(ctx context.Context) {
-	select {
-	case <-c.departure.isKnown:
+// awaitStartKnowledge waits until the newest departure and the evacuations are known, for departureReadTimeout at most.
+func (c *control) awaitStartKnowledge(ctx context.Context) {
+	if isClosed(c.departure.isKnown) && isClosed(c.evacuation.isKnown) {
 		return
-	default:
 	}
+	timeout := c.clock.After(departureReadTimeout)
+	for _, isKnown := range []<-chan struct{}{c.departure.isKnown, c.evacuation.isKnown} {
+		select {
+		case <-isKnown:
+		case <-timeout:
+			c.log.Warn("heartbeat accepted before the departures of the backend server and the evacuations are known",
+				"waited_ms", departureReadTimeout.Milliseconds())
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-c.departure.isKnown:
-	case <-c.clock.After(departureReadTimeout):
-		c.log.Warn("heartbeat accepted before the departures of the backend server are known",
-			"waited_ms", departureReadTimeout.Milliseconds())
-	case <-ctx.Done():
+	case <-c:
+		return true
+	default:
+		return false
 	}
 }
 
--- a/daemon/departure_test.go
+++ b/daemon/departure_test.go
@@ -73,6 +73,11 @@
 	return store.Item{}, &store.RejectedError{Call: "get", Cause: "down"}
 }
 
+// List implements store.Store.
+func (downStore) List(context.Context, string) (store.Snapshot, error) {
+	return store.Snapshot{}, &store.RejectedError{Call: "list", Cause: "down"}
+}
+
 // Commit implements store.Store.
 func (downStore) Commit(context.Context, store.Txn) (store.Revision, error) {
 	return 0, &store.RejectedError{Call: "commit", Cause: "down"}
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -94,6 +94,7 @@
 	if c.layout.IsDeparture(e.Key) {
 		return c.applyDepartureEntry(now, e)
 	}
+	e = c.withoutEndedEvacuation(e)
 	revision := store.Revision(e.Version)
 	if c.isOfLostEra(revision) || e.Version <= c.replica.Get(e.Key).Version {
 		return false
@@ -146,6 +147,9 @@
 	if host, ok := strings.CutPrefix(e.Key, c.layout.Presence("")); ok {
 		return c.decodePresence(ownership.HostID(host), e)
 	}
+	if domain, ok := strings.CutPrefix(e.Key, platform.EvacuationPrefix); ok {
+		return c.decodeEvacuation(ownership.FailureDomain(domain), e)
+	}
 	if !strings.HasPrefix(e.Key, c.layout.Record("")) {
 		return nil, nil //nolint:nilnil // epochs and keys of other systems are not replicated
 	}
@@ -180,7 +184,7 @@
 }
 
 // applyStoreEntries applies values that this daemon read from the store or wrote to it. It sends those that are new
-// within this failure domain, and a configuration of at most maxRemoteEntryBytes to the other domains too.
+// within this failure domain, and values of operators of at most maxRemoteEntryBytes to the other domains too.
 func (c *control) applyStoreEntries(now ownership.Instant, entries ...membership.Entry) {
 	var applied, remote []membership.Entry
 	for _, e := range entries {
@@ -189,7 +193,8 @@
 		}
 		e = c.replica.Get(e.Key)
 		applied = append(applied, e)
-		if e.Key == platform.ConfigKey && len(e.Data) <= maxRemoteEntryBytes {
+		isOfOperator := e.Key == platform.ConfigKey || strings.HasPrefix(e.Key, platform.EvacuationPrefix)
+		if isOfOperator && len(e.Data) <= maxRemoteEntryBytes {
 			remote = append(remote, e)
 		}
 	}
@@ -339,6 +344,7 @@
 	a.IsUsable = a.IsUsable && !c.runner.IsRejecting()
 	a.IsStoreUnreachable = c.isStoreUnreachable()
 	a.IsReady = a.IsReady && !c.isShuttingDown
+	c.limitAnnouncement(now, &a)
 	update := peer.Update{Announcements: []membership.Announcement{a}}
 	isChange := c.roster.ApplyAnnouncement(now, a) == membership.Changed
 	if isChange {
@@ -369,9 +375,10 @@
 		c.gossip.nextDigestAt = now.Add(digestInterval)
 		if peerAddress := c.choosePeer(); peerAddress != "" {
 			c.notifier.SendDigest(peerAddress, peer.Digest{
-				Digest:  c.replica.Digest(),
-				Config:  c.replica.Get(platform.ConfigKey).Version,
-				Reports: c.daemon.quarantine.Digest(),
+				Digest:      c.replica.Digest(),
+				Config:      c.replica.Get(platform.ConfigKey).Version,
+				Reports:     c.daemon.quarantine.Digest(),
+				Evacuations: c.replica.DigestOf(platform.EvacuationPrefix),
 			})
 		}
 	}
@@ -415,6 +422,9 @@
 	if config := c.replica.Get(platform.ConfigKey); config.Version > d.Config && d.From != "" {
 		c.push([]string{d.From}, peer.Update{Entries: []membership.Entry{config}})
 	}
+	if d.Evacuations != c.replica.DigestOf(platform.EvacuationPrefix) && d.From != "" {
+		c.exchangeEvacuations(d.From)
+	}
 	if d.Reports != 0 && d.Reports != c.daemon.quarantine.Digest() {
 		c.pullReports(d.From)
 	}
--- a/daemon/era.go
+++ b/daemon/era.go
@@ -29,18 +29,18 @@
 	c.runRegistrarEffects(now, c.registrar.EraObserved(now, era))
 }
 
-// readAll reads the configuration and all values of this system, and returns the revision from which to watch them. The
-// configuration is read first, because the other values may take seconds, and once more, because a change of it meanwhile
-// precedes that revision.
+// readAll reads the values of operators and all values of this system, and returns the revision from which to watch them.
+// Those of operators are read first, because the other values may take seconds, and once more, because a change of them
+// meanwhile precedes that revision.
 func (c *control) readAll(ctx context.Context) (store.Revision, error) {
-	if err := c.readConfig(ctx); err != nil {
+	if err := c.readOperatorValues(ctx); err != nil {
 		return 0, err
 	}
 	revision, err := c.readValues(ctx, c.layout.Prefix)
 	if err != nil {
 		return 0, err
 	}
-	if err := c.readConfig(ctx); err != nil {
+	if err := c.readOperatorValues(ctx); err != nil {
 		return 0, err
 	}
 	c.post(ctx, func(ownership.Instant) {
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -105,7 +105,9 @@
 }
 
 // isReady reports whether callers may send their requests to this daemon.
-func (d *Daemon) isReady() bool { return d.callerHandler.Config() != nil && !d.isStopping.Load() }
+func (d *Daemon) isReady() bool {
+	return d.callerHandler.Config() != nil && isClosed(d.control.evacuation.isKnown) && !d.isStopping.Load()
+}
 
 func (d *Daemon) addGossip(ctx context.Context, group *run.Group) error {
 	listener, err := listen(d.settings.ControlAddress())
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -51,6 +51,9 @@
 		Calls:         c.runner.State(),
 		Rejections:    c.daemon.nesting.Rejections(),
 	}
+	for _, domain := range c.evacuation.tracker.Domains() {
+		s.Evacuated = append(s.Evacuated, string(domain))
+	}
 	if c.config != nil {
 		s.Config = c.config.Version
 	}
@@ -71,9 +74,10 @@
 			Host:          string(h.Host),
 			Service:       h.Service,
 			FailureDomain: string(h.Domain),
-			IsUsable:      c.isFresh(h) && h.Announcement.IsUsable && !h.Announcement.IsShuttingDown,
-			Keys:          keyCounts[h.Service][h.Host],
-			Operator:      h.OperatorAddress,
+			IsUsable: c.isFresh(h) && h.Announcement.IsUsable && !h.Announcement.IsShuttingDown &&
+				!c.evacuation.tracker.IsEvacuated(h.Domain),
+			Keys:     keyCounts[h.Service][h.Host],
+			Operator: h.OperatorAddress,
 		})
 	}
 	return s
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -26,8 +26,9 @@
 			Host:           h.Host,
 			Domain:         h.Domain,
 			HopAddress:     h.HopAddress,
-			IsUsable:       c.isFresh(h) && a.IsUsable,
+			IsUsable:       c.isFresh(h) && a.IsUsable && c.mayUseDomain(now, h.Domain),
 			IsShuttingDown: a.IsShuttingDown,
+			IsEvacuated:    c.evacuation.tracker.IsEvacuated(h.Domain),
 			Instance:       a.Instance,
 			Concurrency:    a.Concurrency,
 			WarmupUntil:    clockTime(c.clock, now, h.AnnouncedAt.Add(time.Duration(a.WarmupMS)*time.Millisecond)),
@@ -45,6 +46,7 @@
 	c.budget.SetDaemons(1 + len(hopAddresses))
 	if c.isKeyed() {
 		c.runOwnershipEffects(now, c.machine.SetServerState(now, c.serverStateForOwnership()))
+		c.runOwnershipEffects(now, c.machine.SetEvacuated(now, c.isEvacuated(), c.evacuation.handoverAt))
 	}
 	c.updatePeers(now)
 }
@@ -63,7 +65,7 @@
 		peers = append(peers, ownership.Peer{
 			Host:        h.Host,
 			IsPresent:   h.IsRegistered,
-			IsEligible:  c.isFresh(h) && h.Announcement.IsReady,
+			IsEligible:  c.isFresh(h) && h.Announcement.IsReady && !c.evacuation.tracker.IsEvacuated(h.Domain),
 			Instance:    h.Announcement.Instance,
 			Concurrency: h.Announcement.Concurrency,
 			Load:        h.Announcement.Load,
@@ -90,6 +92,7 @@
 	state       ownership.ServerState
 	instance    ownership.Instance
 	isUsable    bool
+	isKeysOnly  bool
 	isLeaving   bool
 	isKeyed     bool
 	concurrency int
@@ -105,7 +108,8 @@
 		version:     c.machine.ServedVersion(),
 		state:       s.state,
 		instance:    s.heartbeat.Instance,
-		isUsable:    isUsable,
+		isUsable:    isUsable && c.mayUseDomain(now, c.daemon.settings.FailureDomain),
+		isKeysOnly:  c.isEvacuated(),
 		isLeaving:   s.usableUntil != 0,
 		isKeyed:     c.isKeyed(),
 		concurrency: s.heartbeat.Concurrency,
@@ -117,7 +121,8 @@
 	c.permit = next
 	keys, until := c.machine.ServedKeys()
 	c.runner.SetPermit(backend.Permit{
-		IsUsable:       isUsable,
+		IsUsable:       next.isUsable,
+		IsKeysOnly:     next.isKeysOnly,
 		Instance:       s.heartbeat.Instance.ID,
 		ServerInstance: s.heartbeat.Instance,
 		IsLeaving:      next.isLeaving,
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -30,6 +30,8 @@
 	// usableUntil is the time until which a server that is leaving gets new work. It is zero if the server is not leaving.
 	usableUntil ownership.Instant
 	warmupUntil ownership.Instant
+	// takenBackAt is when the evacuation of this failure domain last ended, or zero.
+	takenBackAt ownership.Instant
 	nextProbeAt ownership.Instant
 	isProbing   bool
 	client      *backend.Client
@@ -45,6 +47,12 @@
 	return s.state == ownership.ServerSilent && s.client != nil
 }
 
+// isColdUntilHeartbeat reports whether the server counts as cold because it has sent no heartbeat since its failure domain
+// was taken back. It may have become cold without a heartbeat that states it.
+func (s *serverState) isColdUntilHeartbeat() bool {
+	return s.takenBackAt != 0 && s.heartbeatAt <= s.takenBackAt
+}
+
 // usableDrainTime returns how long a server gets new work after it began to drain.
 func usableDrainTime(drainTime time.Duration) time.Duration { return drainTime - drainMargin }
 
@@ -69,6 +77,9 @@
 	if s.warmupUntil > now {
 		a.WarmupMS = s.warmupUntil.Sub(now).Milliseconds()
 	}
+	if s.isColdUntilHeartbeat() {
+		a.WarmupMS = max(a.WarmupMS, s.heartbeatInterval.Milliseconds())
+	}
 	return a
 }
 
@@ -109,7 +120,7 @@
 	ctx context.Context, heartbeat ownership.Heartbeat,
 ) (ownership.HeartbeatResponse, error) {
 	c := h.control
-	c.awaitDepartures(ctx)
+	c.awaitStartKnowledge(ctx)
 	results := make(chan heartbeatResult, 1)
 	var stored <-chan struct{}
 	c.post(ctx, func(now ownership.Instant) {
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -128,6 +128,7 @@
 
 // readValues reads the values of this system whose keys have a prefix.
 func (c *control) readValues(ctx context.Context, prefix string) (store.Revision, error) {
+	sentAt := c.bootClock.Now()
 	own, err := c.store.List(ctx, prefix)
 	if err != nil {
 		return 0, err
@@ -135,6 +136,9 @@
 	c.post(ctx, func(now ownership.Instant) {
 		c.applyItems(now, own.Items)
 		c.markDeleted(now, prefix, own)
+		if prefix == platform.EvacuationPrefix {
+			c.evacuationsRead(now, sentAt, own.Revision)
+		}
 		c.updateDataPlane(now)
 	})
 	return own.Revision, nil
@@ -228,8 +232,10 @@
 			return nil
 		}
 		revision = max(revision, changes.Revision)
+		answeredAt := c.bootClock.Now()
 		c.post(ctx, func(now ownership.Instant) {
 			c.applyItems(now, changes.Items)
+			c.evacuation.tracker.Confirm(answeredAt.Add(-messageTime))
 			c.updateDataPlane(now)
 		})
 		c.setWatching(ctx, true, false)
--- a/membership/replica.go
+++ b/membership/replica.go
@@ -76,24 +76,38 @@
 
 // List returns the values whose key starts with a prefix, ordered by key. Deleted values are omitted.
 func (r *Replica) List(prefix string) []Entry {
+	return slices.DeleteFunc(r.ListAll(prefix), func(e Entry) bool { return e.IsDeleted })
+}
+
+// Digest returns the digest of all values.
+func (r *Replica) Digest() Digest {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.digest
+}
+
+// DigestOf returns the digest of the values whose key starts with a prefix, without deleted ones.
+func (r *Replica) DigestOf(prefix string) Digest {
+	digest := Digest(0)
+	for _, e := range r.List(prefix) {
+		digest += versionHash(e.Key, e.Version)
+	}
+	return digest
+}
+
+// ListAll returns the values whose key starts with a prefix, including deleted ones, ordered by key.
+func (r *Replica) ListAll(prefix string) []Entry {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var found []Entry
 	for _, key := range slices.Sorted(maps.Keys(r.entries)) {
-		if strings.HasPrefix(key, prefix) && !r.entries[key].IsDeleted {
+		if strings.HasPrefix(key, prefix) {
 			found = append(found, r.entries[key])
 		}
 	}
 	return found
 }
 
-// Digest returns the digest of all values.
-func (r *Replica) Digest() Digest {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.digest
-}
-
 // Versions returns the version of each value.
 func (r *Replica) Versions() Versions {
 	r.mu.RLock()
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -38,6 +38,8 @@
 	AuthorityMS   int64           `json:"authority_ms"`
 	Calls         admission.State `json:"calls"`
 	Hosts         []HostStatus    `json:"hosts"`
+	// Evacuated lists the evacuated failure domains.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Rejections are the classes whose runs are rejected because their nested calls fail.
 	Rejections []dependency.Rejection `json:"rejections,omitempty"`
 }
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -93,6 +93,10 @@
 	readNotBefore   Instant
 
 	serverState ServerState
+	// isEvacuated is whether the keys of this host have to be moved to others although its server is ready, from evacuateAt
+	// on.
+	isEvacuated bool
+	evacuateAt  Instant
 	instance    Instance
 	// heartbeatAt is when the last heartbeat arrived.
 	heartbeatAt Instant
@@ -380,12 +384,26 @@
 		m.stopServing()
 	}
 	var effects []Effect
-	if state == ServerReady && m.isMoving && m.pending == nil {
+	if state == ServerReady && m.isMoving && m.pending == nil && !m.isEvacuated {
 		effects = append(effects, m.abandonMoves("server is back"))
 	}
 	return append(effects, m.step(now)...)
 }
 
+// SetEvacuated sets whether the failure domain of this host is evacuated, so that its keys are moved to other hosts from a
+// time on. The backend server keeps the keys until each of them is released.
+func (m *StateMachine) SetEvacuated(now Instant, isEvacuated bool, from Instant) []Effect {
+	if isEvacuated == m.isEvacuated {
+		return nil
+	}
+	m.isEvacuated, m.evacuateAt = isEvacuated, from
+	var effects []Effect
+	if !isEvacuated && m.serverState == ServerReady && m.isMoving && m.pending == nil {
+		effects = append(effects, m.abandonMoves("failure domain taken back"))
+	}
+	return append(effects, m.step(now)...)
+}
+
 // abandonMoves cancels the planned moves: this host keeps the keys.
 func (m *StateMachine) abandonMoves(reason string) Effect {
 	m.moveTargets.Clear()
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -20,18 +20,22 @@
 	if self == NoMember || slices.Contains(m.record.Unsettled, m.self) {
 		return nil
 	}
-	switch m.serverState {
-	case ServerReady:
+	switch {
+	case m.serverState == ServerUnknown:
+		return nil
+	case m.serverState != ServerReady:
+		return m.planEvacuation(now, self, "server "+m.serverState.String())
+	case !m.isEvacuated:
 		return m.planRebalance(now, self)
-	case ServerDraining, ServerSilent, ServerClosed, ServerEnded:
-		return m.planEvacuation(now, self)
+	case now >= m.evacuateAt:
+		return m.planEvacuation(now, self, "failure domain evacuated")
 	default:
 		return nil
 	}
 }
 
 // planEvacuation moves all keys of this host to other hosts, if there are any that can be assigned keys.
-func (m *StateMachine) planEvacuation(now Instant, self int) []Effect {
+func (m *StateMachine) planEvacuation(now Instant, self int, reason string) []Effect {
 	var spans []placement.LoadedSpan
 	for span, a := range m.record.Keys.Runs() {
 		if a.Owner != self {
@@ -46,11 +50,7 @@
 	if len(spans) == 0 {
 		return nil
 	}
-	return m.startMoves(
-		now,
-		placement.Reassign(spans, m.placementState(m.record, m.self)),
-		"server "+m.serverState.String(),
-	)
+	return m.startMoves(now, placement.Reassign(spans, m.placementState(m.record, m.self)), reason)
 }
 
 // precedingPeer returns one plus the index of the peer that owns the key before the span, or zero if there is none.
--- a/peer/control.go
+++ b/peer/control.go
@@ -48,6 +48,8 @@
 	// Config is the version of the configuration. It is sent apart because a configuration has to be in force on all
 	// daemons in time.
 	Config membership.Version `json:"config"`
+	// Evacuations is the digest of the evacuations of failure domains. It is sent apart for the same reason.
+	Evacuations membership.Digest `json:"evacuations,omitempty"`
 	// Reports is the digest of the reports about requests that were running when backend servers crashed.
 	Reports uint64 `json:"reports,omitempty"`
 }
@@ -80,6 +82,14 @@
 	Config membership.Version `json:"config"`
 	// IsFailing reports that the store does not answer the sender, which therefore confirms nothing.
 	IsFailing bool `json:"failing,omitempty"`
+	// Evacuations confirms the evacuations of failure domains. It is nil in the beacons of daemons that do not know of them.
+	Evacuations *EvacuationBeacon `json:"evacuations,omitempty"`
+}
+
+// EvacuationBeacon states which evacuations were in the store some time ago.
+type EvacuationBeacon struct {
+	Digest membership.Digest `json:"digest"`
+	AgeMS  int64             `json:"age_ms"`
 }
 
 // HandoverNotice announces that a host will hand keys over to the receiver.
