test(sessions): evacuations under load

The stand-in deployment can evacuate failure domains, and its checker reports requests that reach a server of such a domain too late.

--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -73,6 +73,7 @@
 			"server":     startServer,
 			"store":      setStoreFault,
 			"refuse":     setStoreRefusal,
+			"evacuate":   setEvacuated,
 			"forget":     deletePresence,
 			"configure":  publishConfig,
 			"load":       controlLoad,
@@ -257,6 +258,14 @@
 	}
 }
 
+// setEvacuated implements "evacuate DOMAIN...", which evacuates failure domains, and "! evacuate DOMAIN...", which takes them
+// back.
+func setEvacuated(ts *testscript.TestScript, neg bool, args []string) {
+	for _, domain := range args {
+		ts.Check(sessionOf(ts).deployment.SetEvacuated(ownership.FailureDomain(domain), !neg))
+	}
+}
+
 // deletePresence implements "forget HOST...": the store deletes the hosts' presence while their leases go on.
 func deletePresence(ts *testscript.TestScript, _ bool, args []string) {
 	for _, h := range hostsByArgs(ts, args) {
--- a/standin/deployment/checker.go
+++ b/standin/deployment/checker.go
@@ -12,7 +12,7 @@
 
 // InvariantChecker records which keys all stand-in servers hold and which requests they execute, and collects the
 // violations of the product's invariants: a key has one holder at a time, the fences of a key rise from holder to
-// holder, and a request is not executed twice unless it is idempotent.
+// holder, a request is not executed twice unless it is idempotent, and no request reaches an evacuated failure domain.
 type InvariantChecker struct {
 	mu         sync.Mutex
 	holds      map[ownership.Instance]*keyspace.Map[keyHold]
@@ -20,8 +20,10 @@
 	executions map[string]int
 	// departedAt is when callers left whose requests had not been answered, by request.
 	departedAt map[string]time.Time
-	abandoned  []AbandonedExecution
-	violations []string
+	// evacuatedAt is since when failure domains are evacuated, or zero if they are not.
+	evacuatedAt map[ownership.FailureDomain]time.Time
+	abandoned   []AbandonedExecution
+	violations  []string
 }
 
 // lastGrant is the instance to which a key was granted last, and the fence of that grant.
@@ -35,6 +37,8 @@
 		holds:      map[ownership.Instance]*keyspace.Map[keyHold]{},
 		executions: map[string]int{},
 		departedAt: map[string]time.Time{},
+
+		evacuatedAt: map[ownership.FailureDomain]time.Time{},
 	}
 }
 
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -242,6 +242,7 @@
 	number := d.instanceCount.Add(1)
 	server := &Server{
 		Host:              h.ID,
+		domain:            h.Group.FailureDomain,
 		service:           h.Group.Service,
 		isKeyed:           d.plan.Config.Services[h.Group.Service].IsKeyed,
 		address:           h.address(serverPort),
@@ -357,9 +358,11 @@
 	d.memory.Restore(backup)
 	d.faultyStore.bringUp()
 	if newest := d.config.Load(); newest != nil {
-		return d.writeConfig(*newest)
+		if err := d.writeConfig(*newest); err != nil {
+			return err
+		}
 	}
-	return nil
+	return d.rewriteEvacuations()
 }
 
 // SetHostRejected sets whether the store answers all calls from a host's IP address with status 503.
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -45,6 +45,7 @@
 // both to the deployment's InvariantChecker.
 type Server struct {
 	Host    ownership.HostID
+	domain  ownership.FailureDomain
 	service class.Service
 	isKeyed bool
 	address string
@@ -285,6 +286,7 @@
 		s.reject(w, http.StatusMisdirectedRequest)
 		return
 	}
+	s.checker.checkEvacuation(id, s.Host, s.domain)
 	s.notices.state(id, header, s.headers)
 	if !s.acquireSlot(r) {
 		s.reject(w, http.StatusServiceUnavailable)
