--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -174,6 +174,7 @@
 		"key not held":   func(p *backend.Permit) { p.Keys.Set(keyspace.Span{From: 7, To: 7}, false) },
 		"hold expired":   func(p *backend.Permit) { p.KeysValidUntil = time.Now().Add(-time.Second) },
 		"no key granted": func(p *backend.Permit) { p.Keys.Clear() },
+		"keys only":      func(p *backend.Permit) { p.IsKeysOnly, p.IsKeyed = true, false },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/daemon/beacon_test.go
+++ b/daemon/beacon_test.go
@@ -75,8 +75,8 @@
 	return 0
 }
 
-// TestConfigurationIsReadWhenTheWatcherFallsSilent guards against old configurations on daemons whose watcher ends, freezes
-// or is cut off at a change.
+// TestConfigurationIsReadWhenTheWatcherFallsSilent guards against old configurations and unknown evacuations on daemons whose
+// watcher ends, freezes or is cut off at a change.
 func TestConfigurationIsReadWhenTheWatcherFallsSilent(t *testing.T) {
 	g := gomega.NewWithT(t)
 	memory := store.NewMemory(clockwork.NewRealClock())
@@ -95,8 +95,10 @@
 	keepAlive()
 	confirm(peer.Beacon{Config: 1})
 	putConfig(t, memory, 2)
+	evacuate(t, memory)
 	g.Eventually(func() class.Version { return configVersion(d) }, configApplyTime).Should(
 		gomega.Equal(class.Version(2)))
+	g.Eventually(func() bool { return isEvacuated(d) }, 100*time.Millisecond).Should(gomega.BeTrue())
 }
 
 // TestBeaconsSpareReads checks that daemons whose watcher confirms the configuration do not read it, and that only a few of
--- a/daemon/evacuation.go
+++ b/daemon/evacuation.go
@@ -154,8 +154,7 @@
 		c.evacuation.handoverAt = now.Add(evacuation.HandoverDelay(rank, count))
 	}
 	c.log.Warn("failure domain evacuated", "domain", domain, "revision", store.Revision(version).String(), "own", isOwn,
-		"keys_served_ms", max(0, t.KeysUntil(domain).Sub(now).Milliseconds()),
-		"confirmed_ms_ago", now.Sub(t.ConfirmedAt()).Milliseconds(), "complete", t.IsComplete())
+		"keys_served_ms", max(0, t.KeysUntil(domain).Sub(now).Milliseconds()), "at_start", !t.IsComplete())
 	c.observer.counter("evacuation.started").inc()
 	c.evacuationsChanged(now, isOwn)
 }
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -168,9 +168,11 @@
 	// recoveries counts the records that were put in force again after a restore of the store.
 	recoveries int
 	faultsOff  bool
-	isTraced   bool
-	trace      []string
-	tracedKey  class.Key
+	// evacuated contains the hosts whose failure domain is evacuated.
+	evacuated map[ownership.HostID]bool
+	isTraced  bool
+	trace     []string
+	tracedKey class.Key
 }
 
 func newSimulation(seed uint64, m mutation) *simulation {
@@ -376,6 +378,7 @@
 	now := sim.bootTime(h)
 	sim.applyRegistrarEffects(h, h.registrar.Tick(now))
 	sim.applyEffects(h, h.machine.SetPeers(now, sim.peerView()))
+	sim.applyEffects(h, h.machine.SetEvacuated(now, sim.evacuated[h.id], now))
 	sim.applyEffects(h, h.machine.Tick(now))
 	// Updates of the record spread late, or not at all.
 	other := sim.hosts[sim.random.IntN(hostCount)]
@@ -396,7 +399,7 @@
 		peers = append(peers, ownership.Peer{
 			Host:        h.id,
 			IsPresent:   err == nil && item.Revision != 0 && (sim.faultsOff || sim.random.IntN(50) > 0),
-			IsEligible:  h.server.isUp && !h.server.isClosed,
+			IsEligible:  h.server.isUp && !h.server.isClosed && !sim.evacuated[h.id],
 			Instance:    h.server.instance,
 			Concurrency: 4,
 			Load:        4 * sim.random.Float64(),
