--- a/cmd/status.go
+++ b/cmd/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/jessevdk/go-flags"
@@ -43,6 +44,9 @@
 	fmt.Fprintf(out, "epoch\t%d, authority for %d ms\n", s.Epoch, s.AuthorityMS)
 	fmt.Fprintf(out, "keys\t%d, generation %d\n", s.Keys, s.Generation)
 	fmt.Fprintf(out, "configuration\tversion %d\n", s.Config)
+	if len(s.Evacuated) > 0 {
+		fmt.Fprintf(out, "evacuated\t%s\n", strings.Join(s.Evacuated, ", "))
+	}
 	fmt.Fprintf(out, "calls\t%d running, %d waiting, limit %d\n\n", s.Calls.Running, s.Calls.Waiting, s.Calls.Limit)
 	fmt.Fprintln(out, "HOST\tSERVICE\tFAILURE DOMAIN\tUSABLE\tKEYS")
 	for _, h := range s.Hosts {
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -427,7 +427,12 @@
 // checkNoViolations implements "kept": it fails if the deployment's checker has recorded a violation of the product's
 // guarantees.
 func checkNoViolations(ts *testscript.TestScript, _ bool, _ []string) {
-	if violations := sessionOf(ts).deployment.Checker.Violations(); len(violations) > 0 {
+	checker := sessionOf(ts).deployment.Checker
+	violations := checker.Violations()
+	for _, arrival := range checker.EvacuatedArrivals() {
+		violations = append(violations, arrival.String())
+	}
+	if len(violations) > 0 {
 		ts.Fatalf("guarantees violated:\n%s", strings.Join(violations, "\n"))
 	}
 }
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -14,6 +14,8 @@
 	// a fault; configApplyTolerance allows for the duration of the status request.
 	configApplyTimeout   = 2 * time.Second
 	configApplyTolerance = 400 * time.Millisecond
+	// maxEvacuationStretch is by how much a disturbance of the store may extend the time of an evacuation.
+	maxEvacuationStretch = 5 * time.Second
 	// faultAftermath is how long after the end of a fault a host still counts as affected by it.
 	faultAftermath = 3 * time.Second
 	// statusTimeout bounds a status request for the configuration in force.
@@ -86,6 +88,15 @@
 	})
 }
 
+// mayDelayEvacuation reports whether a fault explains a request that reached a server of an evacuated domain: one that cut
+// off the daemon beside the server, or one of the store within the time by which that extends the bound.
+func (r *runner) mayDelayEvacuation(e deployment.EvacuatedArrival) bool {
+	isInStretch := e.At.Sub(e.EvacuatedAt) <= deployment.EvacuationTime+maxEvacuationStretch
+	return r.hasInjection(e.EvacuatedAt.Add(-faultAftermath), e.At, func(i injection) bool {
+		return i.fault.delaysConfig == everywhere && isInStretch || i.fault.delaysConfig == onHost && i.host == e.Host
+	})
+}
+
 // mayBreakConnections reports whether a fault in the given period may have broken connections of callers to a host.
 func (r *runner) mayBreakConnections(h *deployment.Host, from, to time.Time) bool {
 	return r.hasInjection(from.Add(-faultAftermath), to, func(i injection) bool {
@@ -122,6 +133,11 @@
 				e.Request, e.Host, e.At.Sub(e.DepartedAt))
 		}
 	}
+	for _, e := range r.deployment.Checker.EvacuatedArrivals() {
+		if !r.mayDelayEvacuation(e) {
+			r.deployment.Checker.ReportViolation("%v", e)
+		}
+	}
 	for _, broken := range load.BrokenCalls() {
 		h := r.deployment.FindHost(string(broken.Host))
 		if !r.mayBreakConnections(h, broken.At.Add(-shutdownGracePeriod), broken.At) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -46,6 +46,8 @@
 	drainDuration = 2500 * time.Millisecond
 	// leavingCallers is the number of callers that leave while a daemon is stopped.
 	leavingCallers = 40
+	// evacuationLength is how long a failure domain stays evacuated at least.
+	evacuationLength = deployment.EvacuationTime + 2*time.Second
 	// heartbeatDelay is by how much a heartbeat is late after the restart of its daemon.
 	heartbeatDelay = 500 * time.Millisecond
 )
@@ -107,6 +109,7 @@
 		{name: "store compacts", inject: compactStore},
 		{name: "store restored", delaysConfig: everywhere, inject: copyStore, revert: restoreStore},
 		{name: "configuration", inject: publishConfig},
+		{name: "evacuation", inject: evacuateDomain, revert: takeDomainBack},
 	}
 }
 
@@ -277,3 +280,13 @@
 	r.reportHarnessError(r.deployment.PutConfig(&next))
 	r.published = append(r.published, publishedConfig{version: next.Version, at: time.Now()})
 }
+
+// evacuateDomain evacuates the failure domain of a host.
+func evacuateDomain(r *runner, h *deployment.Host) {
+	r.reportHarnessError(r.deployment.SetEvacuated(h.Group.FailureDomain, true))
+	deployment.Sleep(r.ctx, evacuationLength)
+}
+
+func takeDomainBack(r *runner, h *deployment.Host) {
+	r.reportHarnessError(r.deployment.SetEvacuated(h.Group.FailureDomain, false))
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -228,6 +228,7 @@
 		restoreLinks(deployment.ToStore, deployment.ToServer, deployment.ToHop, deployment.ToControl)(r, h)
 		startServer(r, h)
 		startDaemon(r, h)
+		takeDomainBack(r, h)
 	}
 }
 
--- a/standin/deployment/checker.go
+++ b/standin/deployment/checker.go
@@ -21,9 +21,10 @@
 	// departedAt is when callers left whose requests had not been answered, by request.
 	departedAt map[string]time.Time
 	// evacuatedAt is since when failure domains are evacuated, or zero if they are not.
-	evacuatedAt map[ownership.FailureDomain]time.Time
-	abandoned   []AbandonedExecution
-	violations  []string
+	evacuatedAt       map[ownership.FailureDomain]time.Time
+	evacuatedArrivals []EvacuatedArrival
+	abandoned         []AbandonedExecution
+	violations        []string
 }
 
 // lastGrant is the instance to which a key was granted last, and the fence of that grant.
--- a/standin/deployment/evacuation.go
+++ b/standin/deployment/evacuation.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/ownership"
@@ -9,9 +11,9 @@
 	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
-// evacuationTime is the time after which the servers of an evacuated domain may receive no requests. It equals the default
+// EvacuationTime is the time after which the servers of an evacuated domain may receive no requests. It equals the default
 // of the daemon's settings.
-const evacuationTime = 5 * time.Second
+const EvacuationTime = 5 * time.Second
 
 // SetEvacuated writes the key that evacuates a failure domain, or deletes it.
 func (d *Deployment) SetEvacuated(domain ownership.FailureDomain, isEvacuated bool) error {
@@ -52,7 +54,9 @@
 func (c *InvariantChecker) setEvacuated(domain ownership.FailureDomain, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.evacuatedAt[domain] = since
+	if since.IsZero() || c.evacuatedAt[domain].IsZero() {
+		c.evacuatedAt[domain] = since
+	}
 }
 
 func (c *InvariantChecker) isEvacuated(domain ownership.FailureDomain) bool {
@@ -61,12 +65,35 @@
 	return !c.evacuatedAt[domain].IsZero()
 }
 
-// checkEvacuation reports a violation if a request reached a server too long after its failure domain was evacuated.
-func (c *InvariantChecker) checkEvacuation(id string, host ownership.HostID, domain ownership.FailureDomain) {
+// EvacuatedArrival is the arrival of a request at a server too long after its failure domain was evacuated.
+type EvacuatedArrival struct {
+	Request string
+	// Host is the host of the server.
+	Host ownership.HostID
+	// EvacuatedAt is when the store acknowledged the evacuation.
+	EvacuatedAt time.Time
+	At          time.Time
+}
+
+func (a EvacuatedArrival) String() string {
+	return fmt.Sprintf("request %s reached host %s %s after its failure domain was evacuated",
+		a.Request, a.Host, a.At.Sub(a.EvacuatedAt))
+}
+
+// recordArrival records a request that reached a server too long after its failure domain was evacuated.
+func (c *InvariantChecker) recordArrival(id string, host ownership.HostID, domain ownership.FailureDomain) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	since := c.evacuatedAt[domain]
-	if age := time.Since(since); !since.IsZero() && age > evacuationTime {
-		c.addViolation("request %s reached %s %s after its failure domain was evacuated", id, host, age)
+	since, now := c.evacuatedAt[domain], time.Now()
+	if !since.IsZero() && now.Sub(since) > EvacuationTime && len(c.evacuatedArrivals) < maxViolations {
+		c.evacuatedArrivals = append(c.evacuatedArrivals,
+			EvacuatedArrival{Request: id, Host: host, EvacuatedAt: since, At: now})
 	}
 }
+
+// EvacuatedArrivals returns the requests that reached servers of evacuated failure domains too late.
+func (c *InvariantChecker) EvacuatedArrivals() []EvacuatedArrival {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.evacuatedArrivals)
+}
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -286,7 +286,7 @@
 		s.reject(w, http.StatusMisdirectedRequest)
 		return
 	}
-	s.checker.checkEvacuation(id, s.Host, s.domain)
+	s.checker.recordArrival(id, s.Host, s.domain)
 	s.notices.state(id, header, s.headers)
 	if !s.acquireSlot(r) {
 		s.reject(w, http.StatusServiceUnavailable)
