feat(evacuation): offers skip evacuated domains; time binds the permit without ticks

Bounded offers and the balancer ask one method which servers take calls without a key. The permit for keys ends at the time for keys itself, also while the control goroutine gets no processor time. Tests of the touched packages pass.

--- a/caller/balancer.go
+++ b/caller/balancer.go
@@ -97,7 +97,7 @@
 	var active, notEjected []*Server
 	for i := range route.Servers {
 		s := &route.Servers[i]
-		if !s.IsUsable || s.IsShuttingDown || s.IsEvacuated || tried[s.Host] {
+		if !s.takesUnkeyed() || tried[s.Host] {
 			continue
 		}
 		active = append(active, s)
--- a/caller/relay_offers.go
+++ b/caller/relay_offers.go
@@ -55,7 +55,7 @@
 	candidates := 0
 	for i := range route.Servers {
 		s := &route.Servers[i]
-		if s.IsUsable && !s.IsShuttingDown && !state.triedHosts[s.Host] {
+		if s.takesUnkeyed() && !state.triedHosts[s.Host] {
 			candidates++
 		}
 	}
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -31,6 +31,9 @@
 	WarmupUntil time.Time
 }
 
+// takesUnkeyed reports whether the server accepts calls without a key.
+func (s *Server) takesUnkeyed() bool { return s.IsUsable && !s.IsShuttingDown && !s.IsEvacuated }
+
 // ServiceRoute holds the backend servers of one service and, for a keyed service, the owners of its keys.
 type ServiceRoute struct {
 	IsKeyed bool
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -120,6 +120,10 @@
 	}
 	c.permit = next
 	keys, until := c.machine.ServedKeys()
+	if next.isKeysOnly {
+		// This binds also while the control goroutine gets no processor time.
+		until = min(until, c.evacuation.tracker.KeysUntil(c.daemon.settings.FailureDomain))
+	}
 	c.runner.SetPermit(backend.Permit{
 		IsUsable:       next.isUsable,
 		IsKeysOnly:     next.isKeysOnly,
