merge: evacuation of failure domains

Evacuations are read and replicated only if the setting evacuation.time is present, which the template takes from the platform's bound. Without it, a daemon starts as before and makes no further calls to the store.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -78,6 +78,7 @@
 	// brokenCall is set by the goroutines of calls.
 	brokenCall        atomic.Pointer[brokenCall]
 	departure         departureState
+	evacuation        evacuationState
 	beacon            beaconState
 	pendingHeartbeat  pendingHeartbeat
 	expectedHandovers map[ownership.HostID]ownership.Instant
@@ -140,6 +141,7 @@
 		loadMeter:         newLoadMeter(o.Clock.Now()),
 		capacities:        newCapacityState(),
 		departure:         departureState{isKnown: make(chan struct{})},
+		evacuation:        newEvacuationState(d.settings.EvacuationTime),
 	}
 	c.gossip = newGossipState(o.BootClock.Now())
 	c.server = newServerState(d.settings, o.BootClock.Now())
@@ -153,6 +155,7 @@
 	c.ctx = ctx
 	c.notifier = peer.NewNotifier(ctx, c.daemon.settings.AdvertisedControlAddress(), c.daemon.registry)
 	c.readDeparture()
+	c.readEvacuations()
 	ticker := c.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -198,6 +201,7 @@
 	c.runRegistrarEffects(now, c.registrar.Tick(now))
 	c.applyLeavingNotice(now)
 	c.checkServer(now)
+	c.checkEvacuations(now)
 	c.measureLoad(now)
 	c.runOwnershipEffects(now, c.machine.Tick(now))
 	c.pushReports()
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -40,8 +40,9 @@
 			DrainTime:         2 * time.Second,
 			MaxHold:           10 * time.Second,
 		},
-		Log:      settings.Log{LinesPerSecond: 10},
-		Timeline: settings.Timeline{Events: 10},
+		EvacuationTime: time.Millisecond, // so that the servers of an evacuated domain serve no keys
+		Log:            settings.Log{LinesPerSecond: 10},
+		Timeline:       settings.Timeline{Events: 10},
 	}
 }
 
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -27,8 +27,9 @@
 			Host:           h.Host,
 			Domain:         h.Domain,
 			HopAddress:     h.HopAddress,
-			IsUsable:       c.isFresh(h) && a.IsUsable,
+			IsUsable:       c.isFresh(h) && a.IsUsable && c.mayUseDomain(now, h.Domain),
 			IsShuttingDown: a.IsShuttingDown,
+			IsEvacuated:    c.evacuation.tracker.IsEvacuated(h.Domain),
 			Instance:       a.Instance,
 			Concurrency:    a.Concurrency,
 			WarmupUntil:    clockTime(c.clock, now, h.AnnouncedAt.Add(time.Duration(a.WarmupMS)*time.Millisecond)),
@@ -47,6 +48,7 @@
 	c.budget.SetDaemons(1 + len(hopAddresses))
 	if c.isKeyed() {
 		c.runOwnershipEffects(now, c.machine.SetServerState(now, c.serverStateForOwnership()))
+		c.runOwnershipEffects(now, c.machine.SetEvacuated(now, c.isEvacuated(), c.evacuation.handoverAt))
 	}
 	c.updatePeers(now)
 }
@@ -66,7 +68,7 @@
 		peers = append(peers, ownership.Peer{
 			Host:        h.Host,
 			IsPresent:   h.IsRegistered,
-			IsEligible:  c.isFresh(h) && h.Announcement.IsReady,
+			IsEligible:  c.isFresh(h) && h.Announcement.IsReady && !c.evacuation.tracker.IsEvacuated(h.Domain),
 			Instance:    h.Announcement.Instance,
 			Concurrency: h.Announcement.Concurrency,
 			Load:        h.Announcement.Load,
@@ -95,6 +97,7 @@
 	state       ownership.ServerState
 	instance    ownership.Instance
 	isUsable    bool
+	isKeysOnly  bool
 	isLeaving   bool
 	isKeyed     bool
 	concurrency int
@@ -111,7 +114,8 @@
 		version:     c.machine.ServedVersion(),
 		state:       s.state,
 		instance:    s.heartbeat.Instance,
-		isUsable:    isUsable,
+		isUsable:    isUsable && c.mayUseDomain(now, c.daemon.settings.FailureDomain),
+		isKeysOnly:  c.isEvacuated(),
 		isLeaving:   s.usableUntil != 0,
 		isKeyed:     c.isKeyed(),
 		concurrency: s.heartbeat.Concurrency,
@@ -123,8 +127,13 @@
 	}
 	c.permit = next
 	keys, until := c.machine.ServedKeys()
+	if next.isKeysOnly {
+		// This binds also while the control goroutine gets no processor time.
+		until = min(until, c.evacuation.tracker.KeysUntil(c.daemon.settings.FailureDomain))
+	}
 	c.runner.SetPermit(backend.Permit{
-		IsUsable:       isUsable,
+		IsUsable:       next.isUsable,
+		IsKeysOnly:     next.isKeysOnly,
 		Instance:       s.heartbeat.Instance.ID,
 		ServerInstance: s.heartbeat.Instance,
 		IsLeaving:      next.isLeaving,
--- a/daemon/warmup_test.go
+++ b/daemon/warmup_test.go
@@ -120,6 +120,7 @@
 		s := testSettings()
 		s.Backend.Address = server.Listener.Addr().(*net.TCPAddr).String()
 		s.Warmup.Overage, s.Warmup.Slack = 1.5, 8
+		s.EvacuationTime = 0 // otherwise the first calls wait until the evacuations are known
 		d := newDaemonWith(t, s, store.NewMemory(clockwork.NewRealClock()))
 		ready := make(chan error)
 		d.control.inbox <- func(now ownership.Instant) {
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -75,6 +75,7 @@
 			"server":     startServer,
 			"store":      setStoreFault,
 			"refuse":     setStoreRefusal,
+			"evacuate":   setEvacuated,
 			"forget":     deletePresence,
 			"configure":  publishConfig,
 			"load":       controlLoad,
@@ -274,6 +275,14 @@
 	}
 }
 
+// setEvacuated implements "evacuate DOMAIN...", which evacuates failure domains, and "! evacuate DOMAIN...", which takes them
+// back.
+func setEvacuated(ts *testscript.TestScript, neg bool, args []string) {
+	for _, domain := range args {
+		ts.Check(sessionOf(ts).deployment.SetEvacuated(ownership.FailureDomain(domain), !neg))
+	}
+}
+
 // deletePresence implements "forget HOST...": the store deletes the hosts' presence while their leases go on.
 func deletePresence(ts *testscript.TestScript, _ bool, args []string) {
 	for _, h := range hostsByArgs(ts, args) {
@@ -435,7 +444,12 @@
 // checkNoViolations implements "kept": it fails if the deployment's checker has recorded a violation of the product's
 // guarantees.
 func checkNoViolations(ts *testscript.TestScript, _ bool, _ []string) {
-	if violations := sessionOf(ts).deployment.Checker.Violations(); len(violations) > 0 {
+	checker := sessionOf(ts).deployment.Checker
+	violations := checker.Violations()
+	for _, arrival := range checker.EvacuatedArrivals() {
+		violations = append(violations, arrival.String())
+	}
+	if len(violations) > 0 {
 		ts.Fatalf("guarantees violated:\n%s", strings.Join(violations, "\n"))
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,7 +31,8 @@
 	Stop     Stop
 	Retries  Retries
 	Warmup   Warmup
-	// EvacuationTime is the time within which the servers of an evacuated failure domain stop to get requests.
+	// EvacuationTime is the time within which the servers of an evacuated failure domain stop to get requests. Zero means
+	// that the deployment has no evacuations.
 	EvacuationTime time.Duration
 	// HedgingShare is the maximum ratio of hedged attempts to requests, for each service. Zero disables hedging.
 	HedgingShare float64
@@ -208,7 +209,7 @@
 			Overage: d.float("warmup.overage", defaultWarmupOverage, 1, 100),
 			Slack:   d.float("warmup.slack", defaultWarmupSlack, 0, 1<<20),
 		},
-		EvacuationTime: d.duration("evacuation.time", ptr(defaultEvacuationTime), time.Second, time.Hour),
+		EvacuationTime: d.duration("evacuation.time", new(time.Duration), time.Second, time.Hour),
 		HedgingShare:   d.float("hedging.share", 0, 0, 1),
 		Limits:         Limits{MemoryMB: int(d.integer("limits.memory_mb", ptr[int64](0), 0, 1<<20))},
 		Log: Log{
@@ -238,10 +239,9 @@
 	defaultRetryRatio  = 0.2
 	defaultRetrySlack  = 60
 	defaultRetryWindow = 10 * time.Second
-	// The following defaults are the values in the contract for deployments with evacuation and cold servers.
+	// The following defaults are the values in the contract for deployments with cold servers.
 	defaultWarmupOverage  = 1.5
 	defaultWarmupSlack    = 8
-	defaultEvacuationTime = 5 * time.Second
 	// defaultLogLinesPerSecond is about one line per request in a small deployment.
 	defaultLogLinesPerSecond = 100
 	// defaultTimelineEvents needs about 100 kB of memory.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -50,6 +50,8 @@
 	hangDuration = 1500 * time.Millisecond
 	// leavingCallers is the number of callers that leave while a daemon is stopped.
 	leavingCallers = 40
+	// evacuationLength is how long a failure domain stays evacuated at least.
+	evacuationLength = deployment.EvacuationTime + 2*time.Second
 	// heartbeatDelay is by how much a heartbeat is late after the restart of its daemon.
 	heartbeatDelay = 500 * time.Millisecond
 )
@@ -113,6 +115,7 @@
 		{name: "configuration", inject: publishConfig},
 		{name: coldFault, inject: coolServer},
 		{name: hangFault, inject: hangServer},
+		{name: "evacuation", inject: evacuateDomain, revert: takeDomainBack},
 	}
 }
 
@@ -298,3 +301,13 @@
 	r.reportHarnessError(r.deployment.PutConfig(&next))
 	r.published = append(r.published, publishedConfig{version: next.Version, at: time.Now()})
 }
+
+// evacuateDomain evacuates the failure domain of a host.
+func evacuateDomain(r *runner, h *deployment.Host) {
+	r.reportHarnessError(r.deployment.SetEvacuated(h.Group.FailureDomain, true))
+	deployment.Sleep(r.ctx, evacuationLength)
+}
+
+func takeDomainBack(r *runner, h *deployment.Host) {
+	r.reportHarnessError(r.deployment.SetEvacuated(h.Group.FailureDomain, false))
+}
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -45,6 +45,7 @@
 // both to the deployment's InvariantChecker.
 type Server struct {
 	Host    ownership.HostID
+	domain  ownership.FailureDomain
 	service class.Service
 	isKeyed bool
 	address string
@@ -295,6 +296,7 @@
 	if !s.warmup.arrive(id) {
 		panic(http.ErrAbortHandler) // closes the connection without a response
 	}
+	s.checker.recordArrival(id, s.Host, s.domain)
 	s.notices.state(id, header, s.headers)
 	if s.warmup.isHanging() {
 		hang(r)
