--- a/settings/settings.go
+++ b/settings/settings.go
@@ -240,8 +240,8 @@
 	defaultRetrySlack  = 60
 	defaultRetryWindow = 10 * time.Second
 	// The following defaults are the values in the contract for deployments with cold servers.
-	defaultWarmupOverage  = 1.5
-	defaultWarmupSlack    = 8
+	defaultWarmupOverage = 1.5
+	defaultWarmupSlack   = 8
 	// defaultLogLinesPerSecond is about one line per request in a small deployment.
 	defaultLogLinesPerSecond = 100
 	// defaultTimelineEvents needs about 100 kB of memory.
