--- a/settings/settings.go
+++ b/settings/settings.go
@@ -90,6 +90,9 @@
 type Limits struct {
 	// MemoryMB is the memory limit of the process in megabytes. Zero means that the limit is unknown.
 	MemoryMB int
+	// LinkMbps is the speed of the host's link in Mbit/s. Zero means that it is unknown, and that bulk transfers are not
+	// limited.
+	LinkMbps float64
 }
 
 // Log configures the log of the process.
@@ -210,7 +213,10 @@
 		},
 		EvacuationTime: d.duration("evacuation.time", ptr(defaultEvacuationTime), time.Second, time.Hour),
 		HedgingShare:   d.float("hedging.share", 0, 0, 1),
-		Limits:         Limits{MemoryMB: int(d.integer("limits.memory_mb", ptr[int64](0), 0, 1<<20))},
+		Limits: Limits{
+			MemoryMB: int(d.integer("limits.memory_mb", ptr[int64](0), 0, 1<<20)),
+			LinkMbps: d.float("limits.link_mbps", 0, 0, 1<<20),
+		},
 		Log: Log{
 			Level:          d.choice("log.level", "info", "trace", "debug", "info", "warn", "error"),
 			Format:         d.choice("log.format", "json", "text", "json"),
