feat(peer): uploads reserve their place before the body is sent

A body of an upload over 16 KB is sent only after the daemon beside the server has reserved a place for it: the server is expected to start the call within the bound of the offer, and the link has room. Otherwise the call is rejected as not run (reason link_full or that of admission) and offered to the next server, without cost for the retry budget. Calls with large responses from other hosts are admitted by the room on the link.

The request for a reservation lacks the header with the time left, so that an earlier version's daemon rejects it as invalid and cannot run it. The whole call is then sent, and again without asking for 10 s.

Classes without bulk bodies, and so configurations that are not load-aware, send the same headers and requests as before (TestOtherClassesAreNotLimited).

--- a/call/call.go
+++ b/call/call.go
@@ -71,6 +71,9 @@
 	// WaitExceeded means that the call could not start at this server within its maximum wait. Another server may have
 	// capacity for it.
 	WaitExceeded // wait_exceeded
+	// LinkFull means that the link of the server's host has no room for the body of the call or of its response. Another
+	// host may have room.
+	LinkFull // link_full
 	// Refused means that the backend server rejected the call before it started it.
 	Refused // refused
 	// Shed means that the backend server rejected the call before it started it, because it was overloaded.
@@ -93,7 +96,9 @@
 )
 
 // IsAdmissionRejection reports whether the admission control of a server rejected the call.
-func (r Reason) IsAdmissionRejection() bool { return r == Overload || r == Late || r == WaitExceeded }
+func (r Reason) IsAdmissionRejection() bool {
+	return r == Overload || r == Late || r == WaitExceeded || r == LinkFull
+}
 
 // ParseReason parses the text of a reason. It returns AnswerLost for an unknown text, because that does not claim that
 // the call did not run.
--- a/call/reason_string.go
+++ b/call/reason_string.go
@@ -19,20 +19,21 @@
 	_ = x[Overload-8]
 	_ = x[Late-9]
 	_ = x[WaitExceeded-10]
-	_ = x[Refused-11]
-	_ = x[Shed-12]
-	_ = x[Quarantined-13]
-	_ = x[Dependency-14]
-	_ = x[Unreachable-15]
-	_ = x[AnswerLost-16]
-	_ = x[ServerEnded-17]
-	_ = x[TimedOut-18]
-	_ = x[CallerGone-19]
+	_ = x[LinkFull-11]
+	_ = x[Refused-12]
+	_ = x[Shed-13]
+	_ = x[Quarantined-14]
+	_ = x[Dependency-15]
+	_ = x[Unreachable-16]
+	_ = x[AnswerLost-17]
+	_ = x[ServerEnded-18]
+	_ = x[TimedOut-19]
+	_ = x[CallerGone-20]
 }
 
-const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredclosingno_servernot_owneroverloadlatewait_exceededrefusedshedquarantineddependencyunreachableanswer_lostserver_endedtimed_outcaller_gone"
+const _Reason_name = "noneunknown_classbad_requesttoo_largenot_configuredclosingno_servernot_owneroverloadlatewait_exceededlink_fullrefusedshedquarantineddependencyunreachableanswer_lostserver_endedtimed_outcaller_gone"
 
-var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 58, 67, 76, 84, 88, 101, 108, 112, 123, 133, 144, 155, 167, 176, 187}
+var _Reason_index = [...]uint8{0, 4, 17, 28, 37, 51, 58, 67, 76, 84, 88, 101, 110, 117, 121, 132, 142, 153, 164, 176, 185, 196}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -289,7 +289,8 @@
 		r.offers.recordAccepted(state.call.Service)
 	}
 	r.recordOffer(target, state, r.clock.Since(start))
-	if result.Outcome != class.Answered && result.Reason != call.WaitExceeded {
+	if result.Outcome != class.Answered && result.Reason != call.WaitExceeded &&
+		result.Reason != call.LinkFull {
 		r.onUnanswered(Attempt{Call: state.call, Host: target.Host, Result: result, Duration: r.clock.Since(start)})
 	}
 }
@@ -356,7 +357,7 @@
 			return retryNow
 		}
 		return finishCall
-	case call.Overload, call.Late, call.WaitExceeded:
+	case call.Overload, call.Late, call.WaitExceeded, call.LinkFull:
 		if state.bound.number > 0 {
 			return r.chooseActionRejected(state)
 		}
@@ -412,7 +413,7 @@
 	if isRejection(result) && state.retryAfter > 0 {
 		result.RetryAfter = state.retryAfter
 	}
-	if result.Reason == call.WaitExceeded {
+	if result.Reason == call.WaitExceeded || result.Reason == call.LinkFull {
 		result.Reason = call.Overload // no server had capacity for the call
 	}
 	if ctx.Err() != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/skylarkrelay/skylarkrelay/settings"
 	"github.com/skylarkrelay/skylarkrelay/store"
 	"github.com/skylarkrelay/skylarkrelay/timeline"
+	"github.com/skylarkrelay/skylarkrelay/transfer"
 )
 
 // defaultConcurrency is the concurrency limit of the backend server until its first heartbeat, which reports its own.
@@ -59,6 +60,7 @@
 	runner        *backend.Runner
 	quarantine    *quarantine.List
 	nesting       *dependency.Tracker
+	transfers     *transfer.Gate
 	hops          *peer.HopClient
 	callerServer  *limitedServer
 	lingerer      *lingerer
@@ -114,6 +116,8 @@
 	d.runner.FollowReturns(call.NewReturns(o.Clock), newReturnObserver(d.observer).returned)
 	d.hops = peer.NewHopClient(d.observer.counter("hop.connections").inc, o.Clock, o.BootClock)
 	d.hops.LimitMemory(d.bodyMemory)
+	d.transfers = transfer.NewGate(s.Limits.LinkMbps, newTransferObserver(d.observer).decided, o.Clock, seed)
+	d.hops.ObserveUnsupported(d.observer.reservationsUnsupported)
 	table := caller.NewTable()
 	d.runner.WaitForKeys(func(key class.Key) (bool, <-chan struct{}) {
 		route, changed := table.Lookup(s.Service)
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -85,6 +85,7 @@
 		BootClock: d.options.BootClock,
 		OnInvalid: func(err error) { d.observer.inputRejected("hop", err) },
 		OnArrival: d.observer.callArrived,
+		Transfers: &peer.Transfers{Gate: d.transfers, CanStart: d.runner.CanStart},
 	}
 	return d.serve(group, "hop", d.settings.ForwardAddress(), receiver.Handler())
 }
--- a/daemon/observe_offers.go
+++ b/daemon/observe_offers.go
@@ -15,6 +15,7 @@
 	*observer
 	byNumber        [countedOffers]counter
 	rejectedByBound counter
+	rejectedByLink  counter
 	rejected        counter
 	rejectedAtEntry counter
 	returns         *returnObserver
@@ -24,6 +25,7 @@
 	offers := &offerObserver{
 		observer:        o,
 		rejectedByBound: o.counter("offers.rejected_by_bound"),
+		rejectedByLink:  o.counter("offers.rejected_by_link"),
 		rejected:        o.counter("offers.rejected_last"),
 		rejectedAtEntry: o.counter("offers.rejected_at_entry"),
 		returns:         newReturnObserver(o),
@@ -53,8 +55,12 @@
 	if !offer.Result.Reason.IsAdmissionRejection() {
 		return
 	}
-	if offer.Result.Reason == call.WaitExceeded {
+	switch offer.Result.Reason {
+	case call.WaitExceeded:
 		o.rejectedByBound.inc()
+	case call.LinkFull:
+		o.rejectedByLink.inc()
+	default:
 	}
 	if offer.IsLast {
 		o.rejected.inc()
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -46,6 +46,13 @@
 	returnHeader = "Skylark-Hop-Return"
 	// nestedHeader marks a call, or the response to a call, whose class the sender knows as nested.
 	nestedHeader = "Skylark-Hop-Nested"
+	// bulkHeader is the direction in which the calls of the class carry large bodies, if they do.
+	bulkHeader = "Skylark-Hop-Bulk"
+	// reserveHeader marks a request to reserve the place of an upload, with the size of the body and the time left to the
+	// call. See HopClient.reserve.
+	reserveHeader = "Skylark-Hop-Reserve"
+	// reservationHeader is the token of a reservation, in the response to such a request and in the call with the body.
+	reservationHeader = "Skylark-Hop-Reservation"
 	// sentHeader is when a call was sent, by the sender's boot clock. See delayMeter.
 	sentHeader = "Skylark-Hop-Sent"
 )
@@ -104,6 +111,8 @@
 
 	memory *link.Memory
 
+	reservations reservationSupport
+
 	mu    sync.Mutex
 	pools map[string]*link.Pool
 }
@@ -206,22 +215,44 @@
 	}
 }
 
-// Send forwards a call once to the daemon of a host at the given address and returns its result.
+// Send forwards a call once to the daemon of a host at the given address and returns its result. The body of an upload is
+// sent only after its place is reserved.
 func (h *HopClient) Send(ctx context.Context, host ownership.HostID, address string, c call.Call) call.Result {
+	reservation, rejected := h.reserve(ctx, host, address, c)
+	if rejected != nil {
+		return *rejected
+	}
 	remaining := c.Deadline.Sub(h.clock.Now())
 	if remaining <= 0 {
 		return call.NotRun(call.Late)
 	}
-	header := c.Header.Clone()
+	header := h.callHeader(host, c, c.Header.Clone())
+	header.Set(timeLeftHeader, strconv.FormatInt(remaining.Microseconds(), 10))
+	if reservation != "" {
+		header.Set(reservationHeader, reservation)
+	}
+	response, err := h.poolFor(address).Do(ctx, backend.NewRequest(c, header), "", func(r *http.Response, _ bool) bool {
+		return r.Header.Get(requestHeader) == string(c.ID)
+	})
+	if err != nil {
+		return backend.ErrorResult(ctx, err, !h.clock.Now().Before(c.Deadline))
+	}
+	return parseResult(response)
+}
+
+// callHeader adds the headers that describe a call to the given ones.
+func (h *HopClient) callHeader(host ownership.HostID, c call.Call, header http.Header) http.Header {
 	header.Set(requestHeader, string(c.ID))
 	header.Set(classHeader, string(c.Class.Name))
 	header.Set(serviceHeader, string(c.Service))
 	header.Set(originHeader, string(c.Origin))
 	header.Set(targetHeader, string(host))
 	header.Set(sentHeader, sendTime{process: h.process, at: h.bootClock.Now()}.String())
-	header.Set(timeLeftHeader, strconv.FormatInt(remaining.Microseconds(), 10))
 	header.Set(classSpecHeader,
 		formatFields(c.Class.Latency.Microseconds(), int64(c.Class.Rank))+","+strconv.FormatBool(c.Class.Idempotent))
+	if c.Class.Bulk != class.NoBulk {
+		header.Set(bulkHeader, c.Class.Bulk.String())
+	}
 	if c.IsSuspected {
 		header.Set(suspectHeader, "1")
 	}
@@ -237,13 +268,7 @@
 	if c.HasKey {
 		header.Set(keyHeader, strconv.Itoa(int(c.Key)))
 	}
-	response, err := h.poolFor(address).Do(ctx, backend.NewRequest(c, header), "", func(r *http.Response, _ bool) bool {
-		return r.Header.Get(requestHeader) == string(c.ID)
-	})
-	if err != nil {
-		return backend.ErrorResult(ctx, err, !h.clock.Now().Before(c.Deadline))
-	}
-	return parseResult(response)
+	return header
 }
 
 // parseResult decodes the result from the response of another daemon. Without a valid outcome header, the outcome is
@@ -292,13 +317,22 @@
 	OnInvalid func(error)
 	// OnArrival is called for each valid call, before it runs.
 	OnArrival func(Arrival)
+	// Transfers limits bulk bodies. If it is nil, nothing is limited, and requests to reserve a place are invalid, as they
+	// are for daemons of earlier versions.
+	Transfers *Transfers
 }
 
 // Handler returns the handler for forwarded calls. Its server needs link.WithConn.
 func (h HopReceiver) Handler() http.Handler {
 	delays := newDelayMeter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.Transfers.isReservation(r) {
+			h.serveReservation(w, r, delays)
+			return
+		}
+		upload := h.Transfers.beginUpload(r)
 		c, delay, err := h.parseCall(w, r, delays)
+		upload.end(h.Clock.Now(), &c)
 		isMisrouted := r.Header.Get(targetHeader) != string(h.Host) || c.Service != h.Service
 		var result call.Result
 		var exceeded *link.MemoryError
@@ -331,7 +365,7 @@
 	if !h.Clock.Now().Before(c.Deadline) {
 		return call.NotRun(call.Late)
 	}
-	return h.Runner.Run(ctx, c)
+	return h.runTransfer(ctx, c)
 }
 
 // parseCall decodes a forwarded call and how much longer than usual it was on its way. The deadline is sent as the
@@ -361,6 +395,7 @@
 	if err := parseSpec(r.Header.Get(classSpecHeader), c.Class); err != nil {
 		return c, delay, err
 	}
+	c.Class.Bulk = parseBulk(r.Header.Get(bulkHeader))
 	c.IsSuspected = r.Header.Get(suspectHeader) != ""
 	if text := r.Header.Get(maxWaitHeader); text != "" {
 		us, err := strconv.ParseInt(text, 10, 64)
--- a/transfer/gate.go
+++ b/transfer/gate.go
@@ -20,7 +20,7 @@
 	Reserved Event = iota // reserved
 	// UploadRejected means that the link had no room for an upload.
 	UploadRejected // upload_rejected
-	// Unreserved means that an upload came without a valid reservation.
+	// Unreserved means that an upload of more than MaxUnreserved bytes came without a valid reservation.
 	Unreserved // unreserved
 	// Expired means that a reservation ended without its body.
 	Expired // expired
@@ -116,7 +116,7 @@
 		g.uploads.charge(g.clock.Now(), bytes)
 	}
 	g.mu.Unlock()
-	if !u.IsReserved() {
+	if !u.IsReserved() && bytes > MaxUnreserved {
 		g.observe(Decision{Event: Unreserved, Class: u.name, Request: u.request, Bytes: bytes})
 	}
 }
--- a/transfer/uploads.go
+++ b/transfer/uploads.go
@@ -7,6 +7,10 @@
 // Token identifies a reservation. Zero is none.
 type Token uint64
 
+// MaxUnreserved is the size of a body in bytes up to which no place is reserved for it. It costs the link hardly more than
+// the additional round trip.
+const MaxUnreserved = 16 << 10
+
 const (
 	// maxUploads is the number of bodies that may be on their way to one host. With one, the link would idle for a round
 	// trip after each body, and a sender that ends would block it until its reservation expires. Each further one
