--- a/caller/offers_load_test.go
+++ b/caller/offers_load_test.go
@@ -36,6 +36,8 @@
 	runTimes map[class.Name]time.Duration
 	// ignoresMaxWait makes the daemons beside the servers behave like those of a version without bounded offers.
 	ignoresMaxWait bool
+	// sender gets the offers in place of the service, if it is set.
+	sender caller.Sender
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -68,12 +70,16 @@
 			Host: host, Domain: "d", IsUsable: true, Concurrency: s.servers[host].controller.State().Limit,
 		})
 	}
+	var sender caller.Sender = s
+	if s.sender != nil {
+		sender = s.sender
+	}
 	var relays []*caller.Relay
 	for i := range count {
 		table := caller.NewTable()
 		table.Set(caller.Routes{"free": caller.NewServiceRoute(false, servers, nil)})
 		budget := caller.NewBudget(caller.BudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Daemons: 1}, s.clock)
-		relay := caller.NewRelay("d", table, s, budget, func(caller.Attempt) {}, s.clock, uint64(i))
+		relay := caller.NewRelay("d", table, sender, budget, func(caller.Attempt) {}, s.clock, uint64(i))
 		relay.SetLoadAware(isLoadAware)
 		relays = append(relays, relay)
 	}
