fix(link): a status outside of 200 to 599 is no response

Statuses such as 000, 099, 600, 999 and "+20" of a server, of another daemon or of the store were taken for responses. Those below 100 made net/http panic when the hop or the caller's daemon wrote them, so that the caller of a call that had run got a reset connection.

Cause: http.ReadResponse takes any three characters that are a number.

Change: link.CheckStatus. After informational responses, anything else than 200 to 599 is a LostError with the cause StatusError, and the connection is closed.

--- a/link/conn.go
+++ b/link/conn.go
@@ -202,6 +202,9 @@
 		return nil, err
 	}
 	defer head.Body.Close()
+	if err := CheckStatus(head.StatusCode, head.Status); err != nil {
+		return nil, err
+	}
 	if head.ContentLength > limits.maxBytes {
 		return nil, &TooLargeError{Bytes: head.ContentLength}
 	}
