feat(link): complete bodies count against a memory budget, and a server's requests are bounded

Bodies of calls that were queued, ran, or waited for a slow reader took memory without a bound, and a server got as many bytes of requests as it had slots for. Active under load-aware configurations only.

- link.Hold: a third of the daemon's memory for incomplete and held bodies.
New bulk calls are rejected as not run at three quarters of it, at the caller's daemon and at the hop; responses are never rejected.
- A response that is not read within the idle timeout is given up.
- backend.max_requests_mb bounds the request bodies at the server; a call that does not fit waits in order, for 0.3 of its time at most.
- Bodies are read into buffers of their stated length, and requests encoded into pooled buffers of sufficient size.

--- a/backend/runner.go
+++ b/backend/runner.go
@@ -104,6 +104,8 @@
 	onReport CrashObserver
 	// isolation holds a value while a suspected call runs.
 	isolation chan struct{}
+	requests  *requestBound
+	onCrowded func(CrowdedCall)
 
 	mu sync.Mutex
 	// stated is what the server at the current client stated about itself.
@@ -163,6 +165,8 @@
 		quarantine:    quarantine.NewList(clock),
 		onReport:      func(quarantine.Report, class.RequestID) {},
 		isolation:     make(chan struct{}, 1),
+		requests:      newRequestBound(0),
+		onCrowded:     func(CrowdedCall) {},
 		noticeObserver: NoticeObserver{
 			RateLimitChanged: func(RateLimitChange) {},
 			Leaving:          func(string, class.RequestID) {},
@@ -278,6 +282,8 @@
 	now := r.clock.Now()
 	keyDeadline := now.Add(time.Duration(keyWaitShare * float64(c.Deadline.Sub(now))))
 	isIsolated, isRunAdmitted := false, false
+	room := r.requests.room(len(c.Body))
+	defer room.release()
 	for {
 		verdict := r.quarantineVerdict(c)
 		if !verdict.HeldUntil.IsZero() {
@@ -317,6 +323,13 @@
 			ticket.Cancel()
 			continue
 		}
+		if err == nil && !room.tryTake() {
+			ticket.Cancel() // calls without a body run meanwhile
+			if !r.waitForRoom(ctx, c, &room) {
+				return noRoomResult(ctx, c)
+			}
+			continue
+		}
 		if err == nil {
 			return r.dispatch(ctx, c, ticket)
 		}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -24,6 +24,14 @@
 	Router *class.Router
 }
 
+// readTimeout returns how long a caller may take to read a response, or zero if that is not bounded.
+func (c *Config) readTimeout() time.Duration {
+	if c == nil {
+		return 0
+	}
+	return call.ReadTimeout(c.Config)
+}
+
 // FinishedCall describes a call that has ended, for logs and metrics. The reason of its result is CallerGone if the
 // result could not be sent to the caller.
 type FinishedCall struct {
@@ -45,6 +53,7 @@
 	config      atomic.Pointer[Config]
 	memory      *link.Memory
 	nesting     *dependency.Tracker
+	bodies      call.BodyObserver
 	isDraining  atomic.Bool
 	isRejecting atomic.Bool
 	active      atomic.Int64
@@ -56,12 +65,22 @@
 	relay *Relay, origin class.Service, headerNames call.HeaderNames, onFinished func(FinishedCall),
 	clock clockwork.Clock,
 ) *Handler {
-	return &Handler{clock: clock, relay: relay, headerNames: headerNames, origin: origin, onFinished: onFinished}
+	return &Handler{
+		clock:       clock,
+		relay:       relay,
+		headerNames: headerNames,
+		origin:      origin,
+		onFinished:  onFinished,
+		bodies:      call.IgnoreBodies(),
+	}
 }
 
-// LimitMemory bounds the memory of incomplete requests. It must be called before the first call.
+// LimitMemory bounds the memory of bodies. It must be called before the first call.
 func (h *Handler) LimitMemory(m *link.Memory) { h.memory = m }
 
+// ObserveBodies sets the observer of bodies that are rejected or not read. It must be called before the first call.
+func (h *Handler) ObserveBodies(o call.BodyObserver) { h.bodies = o }
+
 // SetConfig replaces the configuration for calls that arrive from now on.
 func (h *Handler) SetConfig(c *class.Config) {
 	h.config.Store(&Config{Config: c, Router: class.NewRouter(c.Classes)})
@@ -91,7 +110,9 @@
 	start := h.clock.Now()
 	wasUnread := link.HasCallerLeft(r.Context())
 	config := h.config.Load()
-	c, result, ok := h.parseCall(w, r, config, start.Add(-link.TakeWait(r.Context())))
+	hold := h.memory.Hold()
+	defer hold.Release()
+	c, result, ok := h.parseCall(w, r, config, start.Add(-link.TakeWait(r.Context())), &hold)
 	switch {
 	case ok && wasUnread:
 		result = call.NotRun(call.CallerGone)
@@ -109,8 +130,12 @@
 	if h.isDraining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	hold.Raise(int64(len(c.Body) + len(result.Body)))
 	// The result cannot be delivered to a caller that has disconnected. The call is reported like any other.
-	if err := call.Write(w, c.ID, h.headerNames.RequestID, result); err != nil {
+	err := h.bodies.WriteWithin(w, config.readTimeout(), c.ID, len(result.Body), func() error {
+		return call.Write(w, c.ID, h.headerNames.RequestID, result)
+	})
+	if err != nil {
 		result.Reason = call.CallerGone
 	}
 	finished := FinishedCall{Call: c, Result: result, Duration: h.clock.Since(start), WasUnread: wasUnread}
@@ -137,10 +162,10 @@
 	})
 }
 
-// parseCall converts a request, which arrived at the given time, to a call. If the request cannot be served, it returns
-// false and the result that rejects it.
+// parseCall converts a request, which arrived at the given time, to a call, and adds its body to the hold. If the request
+// cannot be served, it returns false and the result that rejects it.
 func (h *Handler) parseCall(
-	w http.ResponseWriter, r *http.Request, config *Config, arrivedAt time.Time,
+	w http.ResponseWriter, r *http.Request, config *Config, arrivedAt time.Time, hold *link.Hold,
 ) (call.Call, call.Result, bool) {
 	c := call.Call{
 		ID:     class.RequestID(r.Header.Get(h.headerNames.RequestID)),
@@ -174,10 +199,22 @@
 		}
 		c.Key, c.HasKey = class.Key(key), true
 	}
+	stated := r.ContentLength
+	if config.Limits.BodyBytes > 0 {
+		stated = min(stated, config.Limits.BodyBytes) // no more than that is read
+	}
+	if err := call.ReserveBodies(hold, h.memory, matched.Bulk, stated); err != nil {
+		return c, h.bodies.Reject(c.ID, err), false
+	}
 	body, reason := h.readBody(w, r, config.Limits.BodyBytes, timeout)
 	if reason != call.None {
 		return c, call.NotRun(reason), false
 	}
+	if stated < 0 {
+		if err := call.ReserveBodies(hold, h.memory, class.NoBulk, int64(len(body))); err != nil {
+			return c, h.bodies.Reject(c.ID, err), false
+		}
+	}
 	if h.isRejecting.Load() { // the body may have come slowly
 		return c, call.NotRun(call.Closing), false
 	}
@@ -223,7 +260,7 @@
 	if maxBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, maxBytes)
 	}
-	body, err := h.memory.ReadAll(reader)
+	body, err := h.memory.ReadBody(reader, r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	var memory *link.MemoryError
 	switch {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,10 +33,6 @@
 // defaultConcurrency is the concurrency limit of the backend server until its first heartbeat, which reports its own.
 const defaultConcurrency = 4
 
-// maxBodyMemory bounds the memory of all incomplete bodies, in bytes. With the garbage collector's share it is a third of
-// the memory of the smallest hosts.
-const maxBodyMemory = 32 << 20
-
 // Options holds the dependencies of a daemon other than its settings.
 type Options struct {
 	Log   hclog.Logger
@@ -139,6 +135,8 @@
 	d.callerHandler = caller.NewHandler(relay, s.Service, platform.Headers(), d.observer.callFinished, o.Clock)
 	d.callerHandler.LimitMemory(d.bodyMemory)
 	d.callerHandler.FollowNesting(d.nesting)
+	d.callerHandler.ObserveBodies(d.observer.bodies("caller"))
+	d.runner.LimitRequestBytes(int64(s.Backend.MaxRequestsMB)<<20, d.observer.callCrowded)
 	d.callerServer = newLimitedServer(d.callerHandler, d.observer.httpErrorLog("caller"))
 	d.control = newControl(d, o, table, relay, budget, seed)
 	return d
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -213,6 +213,7 @@
 	c.relay.SetLoadAware(config.IsLoadAware())
 	c.daemon.callerServer.setLimits(config.Limits)
 	c.runner.SetLoadAware(config.IsLoadAware())
+	c.daemon.setBodyLimits(config.IsLoadAware())
 	c.observer.configApplied(config.Version)
 	c.readRecordIfDue()
 }
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -81,6 +81,8 @@
 		Host:      d.settings.Host,
 		Service:   d.settings.Service,
 		Memory:    d.bodyMemory,
+		Bodies:    d.observer.bodies("daemon"),
+		Config:    d.callerHandler.Config,
 		Clock:     d.clock,
 		BootClock: d.options.BootClock,
 		OnInvalid: func(err error) { d.observer.inputRejected("hop", err) },
--- a/daemon/usage.go
+++ b/daemon/usage.go
@@ -52,6 +52,7 @@
 	previous := m.reported
 	m.reportedAt, m.reported = now, current
 	metrics.GetOrRegisterGauge("process.cpu_ms", c.observer.registry).Update(current.processorTime.Milliseconds())
+	c.daemon.reportBodies()
 	c.log.Info("usage", "interval_ms", elapsed.Milliseconds(),
 		"cpu_ms", (current.processorTime - previous.processorTime).Milliseconds(),
 		"calls", current.calls-previous.calls,
--- a/link/conn.go
+++ b/link/conn.go
@@ -30,8 +30,11 @@
 	// maxHeadBytes limits the heads of all responses that are read for one request, informational ones among them. The
 	// limit counts whole reads into the buffer, so a short body may be part of it.
 	maxHeadBytes = 64 << 10
-	// maxPooledBuffer is the capacity up to which a request buffer is kept for later requests.
-	maxPooledBuffer = 64 << 10
+	// maxPooledBuffer is the capacity up to which a request buffer is kept for later requests. A request with a body of
+	// 60 KB fits.
+	maxPooledBuffer = 256 << 10
+	// headSpace is the space in a request buffer besides the body: for the head, and for the read that finds the end.
+	headSpace = 4 << 10
 )
 
 // requestBuffers holds buffers for encoding requests, so that each request is sent by a single write.
@@ -175,6 +178,9 @@
 			requestBuffers.Put(requestBuffer)
 		}
 	}()
+	if r.ContentLength > 0 {
+		requestBuffer.Grow(headSpace + int(r.ContentLength))
+	}
 	if err := r.Write(requestBuffer); err != nil {
 		return false, err
 	}
@@ -208,11 +214,14 @@
 	if head.ContentLength > limits.maxBytes {
 		return nil, &TooLargeError{Bytes: head.ContentLength}
 	}
-	c.head.isInBody = true
-	body, err := limits.memory.ReadAll(io.LimitReader(head.Body, limits.maxBytes+1))
-	c.head.isInBody = false
-	if err != nil {
-		return nil, err
+	var body []byte
+	if head.Body != http.NoBody { // the response to a HEAD request states a length as well
+		c.head.isInBody = true
+		body, err = limits.memory.ReadBody(io.LimitReader(head.Body, limits.maxBytes+1), head.ContentLength)
+		c.head.isInBody = false
+		if err != nil {
+			return nil, err
+		}
 	}
 	if int64(len(body)) > limits.maxBytes {
 		return nil, &TooLargeError{Bytes: int64(len(body))}
--- a/link/memory_test.go
+++ b/link/memory_test.go
@@ -99,7 +99,7 @@
 		}
 	}
 	g.Expect(givenUp).To(gomega.BeNumerically(">", 0))
-	data, err := memory.ReadAll(&zeros{remaining: bound / 4})
+	data, err := memory.ReadBody(&zeros{remaining: bound / 4}, -1)
 	g.Expect(err).NotTo(gomega.HaveOccurred(), "the memory is free again")
 	g.Expect(data).To(gomega.HaveLen(bound / 4))
 }
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -309,8 +309,12 @@
 	Runner  CallRunner
 	Host    ownership.HostID
 	Service class.Service
-	// Memory bounds the memory of incomplete requests.
-	Memory    *link.Memory
+	// Memory bounds the memory of bodies.
+	Memory *link.Memory
+	// Bodies is told of bodies that are rejected or not read.
+	Bodies call.BodyObserver
+	// Config returns the configuration in force, or nil. It gives how long another daemon may take to read a response.
+	Config    func() *class.Config
 	Clock     clockwork.Clock
 	BootClock ownership.Clock
 	// OnInvalid gets the errors of invalid requests, whose calls do not run.
@@ -326,17 +330,23 @@
 func (h HopReceiver) Handler() http.Handler {
 	delays := newDelayMeter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		config := h.Config()
 		if h.Transfers.isReservation(r) {
 			h.serveReservation(w, r, delays)
 			return
 		}
+		hold := h.Memory.Hold()
+		defer hold.Release()
 		upload := h.Transfers.beginUpload(r)
-		c, delay, err := h.parseCall(w, r, delays)
+		c, delay, err := h.parseCall(w, r, delays, &hold)
 		upload.end(h.Clock.Now(), &c)
 		isMisrouted := r.Header.Get(targetHeader) != string(h.Host) || c.Service != h.Service
 		var result call.Result
 		var exceeded *link.MemoryError
+		var noRoom *call.NoRoomError
 		switch {
+		case errors.As(err, &noRoom):
+			result = h.Bodies.Reject(c.ID, err)
 		case errors.As(err, &exceeded):
 			h.OnInvalid(err)
 			result = call.NotRun(call.Overload)
@@ -354,7 +364,11 @@
 			result = h.run(r.Context(), c)
 		}
 		result.Host = string(h.Host)
-		if err := writeResult(w, r.Header.Get(requestHeader), result); err != nil && r.Context().Err() == nil {
+		hold.Raise(int64(len(c.Body) + len(result.Body)))
+		err = h.Bodies.WriteWithin(w, call.ReadTimeout(config), c.ID, len(result.Body), func() error {
+			return writeResult(w, r.Header.Get(requestHeader), result)
+		})
+		if err != nil && r.Context().Err() == nil {
 			h.OnInvalid(&MessageError{Part: "response", Cause: err.Error()})
 		}
 	})
@@ -368,10 +382,10 @@
 	return h.runTransfer(ctx, c)
 }
 
-// parseCall decodes a forwarded call and how much longer than usual it was on its way. The deadline is sent as the
-// time that remained when the call was sent, so that the hosts' clocks need not agree.
+// parseCall decodes a forwarded call and how much longer than usual it was on its way, and adds its body to the hold. The
+// deadline is sent as the time that remained when the call was sent, so that the hosts' clocks need not agree.
 func (h HopReceiver) parseCall(
-	w http.ResponseWriter, r *http.Request, delays *delayMeter,
+	w http.ResponseWriter, r *http.Request, delays *delayMeter, hold *link.Hold,
 ) (call.Call, time.Duration, error) {
 	arrived := h.Clock.Now()
 	delay, err := delays.observe(r.Header.Get(sentHeader), h.BootClock.Now())
@@ -413,8 +427,12 @@
 		}
 		c.Key, c.HasKey = class.Key(key), true
 	}
+	// Daemons always state the length.
+	if err := call.ReserveBodies(hold, h.Memory, c.Class.Bulk, min(r.ContentLength, hopMaxBody)); err != nil {
+		return c, delay, err
+	}
 	if r.ContentLength != 0 {
-		c.Body, err = h.Memory.ReadAll(http.MaxBytesReader(w, r.Body, hopMaxBody))
+		c.Body, err = h.Memory.ReadBody(http.MaxBytesReader(w, r.Body, hopMaxBody), r.ContentLength)
 		var exceeded *link.MemoryError
 		if errors.As(err, &exceeded) {
 			return c, delay, exceeded
--- a/peer/hop_test.go
+++ b/peer/hop_test.go
@@ -48,6 +48,8 @@
 		BootClock: bootClock{},
 		OnInvalid: onInvalid,
 		OnArrival: func(peer.Arrival) {},
+		Bodies:    call.IgnoreBodies(),
+		Config:    func() *class.Config { return nil },
 	}
 }
 
--- a/peer/transfers.go
+++ b/peer/transfers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -73,7 +74,17 @@
 		return 0, call.Result{}, &MessageError{Part: reserveHeader, Cause: "invalid value " + strconv.Quote(text)}
 	}
 	r.Header.Set(timeLeftHeader, strconv.FormatInt(fields[1], 10))
-	c, _, err := h.parseCall(w, r, delays)
+	hold := h.Memory.Hold()
+	defer hold.Release()
+	c, _, err := h.parseCall(w, r, delays, &hold)
+	if err == nil {
+		// The body is held when it arrives. What it does not find room for then has been sent in vain.
+		err = call.ReserveBodies(&hold, h.Memory, class.Upload, fields[0])
+	}
+	var noRoom *call.NoRoomError
+	if errors.As(err, &noRoom) {
+		return 0, h.Bodies.Reject(c.ID, err), nil
+	}
 	if err != nil {
 		return 0, call.Result{}, err
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -63,6 +63,9 @@
 	DrainTime time.Duration
 	// MaxHold is the maximum time for which the backend server may hold keys without a heartbeat.
 	MaxHold time.Duration
+	// MaxRequestsMB bounds the request bodies that are outstanding at the backend server, in megabytes, under
+	// configurations that ask for load-aware decisions.
+	MaxRequestsMB int
 }
 
 // Stop configures the shutdown of the process.
@@ -199,8 +202,9 @@
 			HeartbeatInterval: d.duration(
 				"backend.heartbeat_interval", ptr(defaultHeartbeatInterval), 10*time.Millisecond, time.Minute,
 			),
-			DrainTime: d.duration("backend.drain_time", ptr(defaultDrainTime), 0, time.Minute),
-			MaxHold:   d.duration("backend.hold_most", ptr(defaultMaxHold), 100*time.Millisecond, time.Hour),
+			DrainTime:     d.duration("backend.drain_time", ptr(defaultDrainTime), 0, time.Minute),
+			MaxHold:       d.duration("backend.hold_most", ptr(defaultMaxHold), 100*time.Millisecond, time.Hour),
+			MaxRequestsMB: int(d.integer("backend.max_requests_mb", ptr[int64](defaultMaxRequestsMB), 1, 1<<20)),
 		},
 		Stop: Stop{GraceTime: d.duration("stop.grace_time", ptr(defaultGraceTime), 100*time.Millisecond, time.Hour)},
 		Retries: Retries{
@@ -248,6 +252,9 @@
 	// The following defaults are the values in the contract for deployments with cold servers.
 	defaultWarmupOverage = 1.5
 	defaultWarmupSlack   = 8
+	// defaultMaxRequestsMB is a hundred times what the slots of a server take with requests of 10 KB each, and leaves a
+	// server with 184 MB most of its memory.
+	defaultMaxRequestsMB = 8
 	// defaultLogLinesPerSecond is about one line per request in a small deployment.
 	defaultLogLinesPerSecond = 100
 	// defaultTimelineEvents needs about 100 kB of memory.
