feat(caller): calls and gossip go around a cut link by way of a third domain

If two failure domains do not reach each other while a third reaches both, no lease is lost and no key moves: calls for keys on the other side failed until the link was back, and after 4.5 announcements its servers counted as silent.

- caller.Reach: a domain is unreachable if no connection to two of its hosts is found while another domain is alive.
It is probed every second.
- Calls with a key, and calls without one that have no other server, are sent by way of a daemon of a third domain (Skylark-Hop-Via), which forwards them once.
Origin and time left are kept.
If that daemon finds no connection either, the call has not run.
- Updates for an unreachable domain are passed on by a daemon of another one.

Evidence: TestAnnouncementsReachADomainByWayOfAThird fails without the passing on.

--- a/call/call.go
+++ b/call/call.go
@@ -139,6 +139,8 @@
 	IsNested bool
 	// IsDisconnected reports whether the backend server closed the connection without a complete response.
 	IsDisconnected bool
+	// IsUnacknowledged reports whether the other host stopped to acknowledge what it was sent.
+	IsUnacknowledged bool
 }
 
 // Load is the load of a backend server and the admission queue before it.
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -55,6 +55,7 @@
 	onOffer      func(Offer)
 	answerTimes  *answerTimes
 	onResend     func(Resend)
+	reach        *Reach
 	leaving      leavingServers
 	quarantine   *quarantine.List
 	onUnanswered func(Attempt)
@@ -78,6 +79,7 @@
 		onOffer:      func(Offer) {},
 		answerTimes:  newAnswerTimes(),
 		onResend:     func(Resend) {},
+		reach:        NewReach(domain, func(ReachChange) {}),
 		quarantine:   quarantine.NewList(clock),
 		leaving:      leavingServers{clock: clock, since: map[ownership.HostID]leavingServer{}},
 		onUnanswered: onUnanswered,
@@ -126,6 +128,10 @@
 	// deferredHosts are the hosts of triedHosts whose server could not start the call within a short bound.
 	deferredHosts   []ownership.HostID
 	hasOnlyDeferred bool
+	// cutOff holds the servers in unreachable domains that a call without a key has not been sent to, unconnected those to
+	// which no connection was found, and relays is how often the call was sent by way of another domain.
+	cutOff, unconnected []*Server
+	relays              int
 	// rejections is the number of servers whose admission control rejected the call, and retryAfter the shortest of the
 	// times after which they expect capacity, or zero if none of them said.
 	rejections int
@@ -162,6 +168,7 @@
 	}
 	for {
 		route, changed := r.table.Lookup(c.Service)
+		r.excludeCutOff(route, state)
 		r.planOffer(route, state)
 		target := r.selectServer(route, state)
 		if target == nil && state.deferOnly() {
@@ -218,10 +225,16 @@
 		if isExcluded {
 			return nil
 		}
+		if owner != nil && r.isCutOff(owner) {
+			return r.relayed(owner, state)
+		}
 		return owner
 	}
 	for {
 		server := r.balancer.pick(route, state.triedHosts)
+		if server == nil && !state.hasDeferred() {
+			return r.selectCutOff(state)
+		}
 		if server == nil || r.leaving.accepts(server) {
 			return server
 		}
@@ -275,6 +288,10 @@
 		r.answerTimes.record(offerKey{service: state.call.Service, class: state.call.Class.Name}, r.clock.Since(start))
 	}
 	r.leaving.observe(target, result)
+	r.observeReach(target, result)
+	if isUnconnected(result) && target.Via == nil {
+		state.unconnected = append(state.unconnected, target)
+	}
 	state.lastResult = result
 	state.triedHosts[target.Host] = true
 	wasSent := result.Outcome != class.NotRun || result.Reason == call.Refused || result.Reason == call.Shed
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -32,6 +32,9 @@
 	// ColdRate is this daemon's share of the requests per second that a cold server of the service accepts, or zero if
 	// the service has no such limit.
 	ColdRate float64
+	// Via is the server through whose daemon this one is reached, or nil if it is reached directly. It is set for single
+	// attempts only.
+	Via *Server
 }
 
 // isLimited reports whether the server is cold and accepts a limited rate.
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -56,11 +56,13 @@
 	roster    *membership.Roster
 	// peerAddresses holds the control addresses of the other hosts. Any goroutine may read it.
 	peerAddresses atomic.Pointer[[]string]
-	notifier      *peer.Notifier
-	table         *caller.Table
-	relay         *caller.Relay
-	budget        *caller.Budget
-	runner        *backend.Runner
+	// peerHosts holds the other hosts by their control addresses. Any goroutine may read it.
+	peerHosts atomic.Pointer[map[string]peerHost]
+	notifier  *peer.Notifier
+	table     *caller.Table
+	relay     *caller.Relay
+	budget    *caller.Budget
+	runner    *backend.Runner
 
 	inbox      chan func(now ownership.Instant)
 	ctx        context.Context
@@ -154,6 +156,7 @@
 func (c *control) run(ctx context.Context) error {
 	c.ctx = ctx
 	c.notifier = peer.NewNotifier(ctx, c.daemon.settings.AdvertisedControlAddress(), c.daemon.registry)
+	c.notifier.ObserveDials(c.gossipDialed)
 	c.readDeparture()
 	c.readEvacuations()
 	ticker := c.clock.NewTicker(tickInterval)
@@ -206,6 +209,7 @@
 	c.runOwnershipEffects(now, c.machine.Tick(now))
 	c.pushReports()
 	c.gossipTick(now)
+	c.probeUnreachable()
 	c.updateDataPlane(now)
 	c.checkWarmup(now)
 	c.reportUsage(now)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -125,12 +125,13 @@
 		Window:  s.Retries.Window,
 		Daemons: 1,
 	}, o.Clock)
-	relay := caller.NewRelay(s.FailureDomain, table, sender{self: s.Host, runner: d.runner, hops: d.hops}, budget,
+	relay := caller.NewRelay(s.FailureDomain, table, sender{self: s.Host, runner: d.runner, hops: d.hops, onRelayed: d.observer.callRelayed}, budget,
 		d.observer.attemptFailed, o.Clock, seed)
 	relay.HoldBack(d.quarantine)
 	relay.ObserveOffers(newOfferObserver(d.observer).offered)
 	relay.ObserveResends(d.observer.callResent)
 	relay.ObserveCold(d.observer.counter("warmup.passed_over").inc)
+	relay.UseReach(caller.NewReach(s.FailureDomain, d.observer.reachChanged))
 	relay.AvoidLeavingServers(platform.Headers().Leaving, usableDrainTime(s.Backend.DrainTime))
 	d.callerHandler = caller.NewHandler(relay, s.Service, platform.Headers(), d.observer.callFinished, o.Clock)
 	d.callerHandler.LimitMemory(d.bodyMemory)
@@ -147,6 +148,8 @@
 	self   ownership.HostID
 	runner *backend.Runner
 	hops   *peer.HopClient
+	// onRelayed is called for each attempt by way of another daemon.
+	onRelayed func(to *caller.Server, c call.Call)
 }
 
 // Send implements caller.Sender.
@@ -156,6 +159,10 @@
 		result.Host = string(s.self)
 		return result
 	}
+	if to.Via != nil {
+		s.onRelayed(to, c)
+		return s.hops.SendVia(ctx, to.Host, to.Via.Host, to.Via.HopAddress, c)
+	}
 	return s.hops.Send(ctx, to.Host, to.HopAddress, c)
 }
 
--- a/daemon/dissemination.go
+++ b/daemon/dissemination.go
@@ -410,7 +410,7 @@
 	if len(local) > 0 && (len(remote) == 0 || c.random.Float64() < localDigestRatio) {
 		return local[c.random.IntN(len(local))]
 	}
-	addresses := c.knownPeerAddresses()
+	addresses := c.reachableAddresses(c.knownPeerAddresses())
 	if len(addresses) == 0 {
 		return ""
 	}
@@ -421,6 +421,7 @@
 // an older configuration is sent the newer one: it may be pulling from a host that does not respond, and would otherwise
 // have to wait for a digest of a daemon that has it.
 func (c *control) handleDigest(now ownership.Instant, d peer.Digest) {
+	c.heardFrom(d.From)
 	if config := c.replica.Get(platform.ConfigKey); config.Version > d.Config && d.From != "" {
 		c.push([]string{d.From}, peer.Update{Entries: []membership.Entry{config}})
 	}
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -30,6 +30,8 @@
 
 // applyUpdate applies an update from another daemon, and forwards the new parts if the sender requests it.
 func (c *control) applyUpdate(now ownership.Instant, update peer.Update) {
+	c.heardFrom(update.From)
+	c.relayUpdate(update)
 	var applied peer.Update
 	for _, e := range update.Entries {
 		if c.applyEntry(now, e) {
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -83,6 +83,7 @@
 		Memory:    d.bodyMemory,
 		Bodies:    d.observer.bodies("daemon"),
 		Config:    d.callerHandler.Config,
+		Forward:   d.forwardCall,
 		Clock:     d.clock,
 		BootClock: d.options.BootClock,
 		OnInvalid: func(err error) { d.observer.inputRejected("hop", err) },
--- a/daemon/push.go
+++ b/daemon/push.go
@@ -20,13 +20,22 @@
 	c.push(local, update)
 }
 
-// pushRemote sends an update to one daemon of each other failure domain, which forwards it within its domain.
+// pushRemote sends an update to one daemon of each other failure domain, which forwards it within its domain. It is sent to
+// unreachable domains by way of another one.
 func (c *control) pushRemote(update peer.Update) {
 	_, remote := c.peersByDomain()
 	update.Forward = true
+	carried := c.planCarriers(remote)
 	var addresses []string
-	for _, domain := range remote {
-		addresses = append(addresses, domain[c.random.IntN(len(domain))])
+	for name, domain := range remote {
+		address := domain[c.random.IntN(len(domain))]
+		if relay := carried[name]; len(relay) > 0 {
+			relayed := update
+			relayed.Relay = relay
+			c.push([]string{address}, relayed)
+			continue
+		}
+		addresses = append(addresses, address)
 	}
 	c.push(addresses, update)
 }
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -16,10 +16,12 @@
 	serversByService := map[class.Service][]caller.Server{}
 	hopAddresses := map[string]bool{}
 	var controlAddresses []string
+	peers := map[string]peerHost{}
 	for _, h := range c.roster.Hosts() {
 		if h.Host != c.self {
 			hopAddresses[h.HopAddress] = true
 			controlAddresses = append(controlAddresses, h.ControlAddress)
+			peers[h.ControlAddress] = peerHost{host: h.Host, domain: h.Domain}
 		}
 		a := h.Announcement
 		service := serviceOf(h)
@@ -42,6 +44,7 @@
 		routes[service] = caller.NewServiceRoute(isKeyed, servers, c.records[service])
 	}
 	c.peerAddresses.Store(&controlAddresses)
+	c.peerHosts.Store(&peers)
 	c.table.Set(routes)
 	c.relay.PruneServers(routes)
 	c.daemon.hops.SetAddresses(hopAddresses)
--- a/peer/control.go
+++ b/peer/control.go
@@ -74,6 +74,8 @@
 	Beacon *Beacon `json:"beacon,omitempty"`
 	// Forward asks the receiver to forward the update to the other daemons of its failure domain.
 	Forward bool `json:"relay,omitempty"`
+	// Relay holds failure domains that the sender cannot reach. The receiver sends the update to one daemon of each.
+	Relay []ownership.FailureDomain `json:"pass_on_to,omitempty"`
 }
 
 // Beacon is the periodic confirmation of a daemon that watches the store for its failure domain.
@@ -113,6 +115,7 @@
 	lostMessages metrics.Counter
 	sentMessages metrics.Counter
 	ctx          context.Context
+	onDial       func(address string, err error)
 
 	mu      sync.Mutex
 	queues  map[string]chan notification
@@ -126,10 +129,15 @@
 		ctx:          ctx,
 		lostMessages: metrics.GetOrRegisterCounter("gossip.messages_lost", registry),
 		sentMessages: metrics.GetOrRegisterCounter("gossip.messages_sent", registry),
+		onDial:       func(string, error) {},
 		queues:       map[string]chan notification{},
 	}
 }
 
+// ObserveDials sets the observer of the connections that are opened to peers, which must not block. It must be called
+// before the first message.
+func (n *Notifier) ObserveDials(onDial func(address string, err error)) { n.onDial = onDial }
+
 // Wait waits for all senders to end, which they do after the end of the context.
 func (n *Notifier) Wait() { n.senders.Wait() }
 
@@ -223,6 +231,7 @@
 	}
 	if conn == nil {
 		newConn, err := dial(n.ctx, to)
+		n.onDial(to, err)
 		if err != nil {
 			n.lostMessages.Inc(1)
 			return nil
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -55,6 +56,8 @@
 	reservationHeader = "Skylark-Hop-Reservation"
 	// sentHeader is when a call was sent, by the sender's boot clock. See delayMeter.
 	sentHeader = "Skylark-Hop-Sent"
+	// viaHeader is the host whose daemon is to forward a call to the host that it is meant for. See SendVia.
+	viaHeader = "Skylark-Hop-Via"
 )
 
 const (
@@ -222,20 +225,31 @@
 	if rejected != nil {
 		return *rejected
 	}
+	return h.send(ctx, host, address, c, func(header http.Header) {
+		if reservation != "" {
+			header.Set(reservationHeader, reservation)
+		}
+	})
+}
+
+// send sends a call to the daemon at an address, with the headers that addHeaders adds.
+func (h *HopClient) send(
+	ctx context.Context, host ownership.HostID, address string, c call.Call, addHeaders func(http.Header),
+) call.Result {
 	remaining := c.Deadline.Sub(h.clock.Now())
 	if remaining <= 0 {
 		return call.NotRun(call.Late)
 	}
 	header := h.callHeader(host, c, c.Header.Clone())
 	header.Set(timeLeftHeader, strconv.FormatInt(remaining.Microseconds(), 10))
-	if reservation != "" {
-		header.Set(reservationHeader, reservation)
-	}
+	addHeaders(header)
 	response, err := h.poolFor(address).Do(ctx, backend.NewRequest(c, header), "", func(r *http.Response, _ bool) bool {
 		return r.Header.Get(requestHeader) == string(c.ID)
 	})
 	if err != nil {
-		return backend.ErrorResult(ctx, err, !h.clock.Now().Before(c.Deadline))
+		result := backend.ErrorResult(ctx, err, !h.clock.Now().Before(c.Deadline))
+		result.IsUnacknowledged = errors.Is(err, syscall.ETIMEDOUT)
+		return result
 	}
 	return parseResult(response)
 }
@@ -317,6 +331,9 @@
 	Config    func() *class.Config
 	Clock     clockwork.Clock
 	BootClock ownership.Clock
+	// Forward sends a call for another host to its daemon, on behalf of a daemon that cannot reach it. Nil means that no
+	// calls are forwarded.
+	Forward func(ctx context.Context, host ownership.HostID, c call.Call) call.Result
 	// OnInvalid gets the errors of invalid requests, whose calls do not run.
 	OnInvalid func(error)
 	// OnArrival is called for each valid call, before it runs.
@@ -353,6 +370,8 @@
 		case err != nil:
 			h.OnInvalid(err)
 			result = call.NotRun(call.BadRequest)
+		case isMisrouted && h.isVia(r, config):
+			result = h.forward(r, c)
 		case isMisrouted:
 			result = call.NotRun(call.NotOwner)
 		default:
@@ -363,7 +382,9 @@
 			}
 			result = h.run(r.Context(), c)
 		}
-		result.Host = string(h.Host)
+		if result.Host == "" {
+			result.Host = string(h.Host)
+		}
 		hold.Raise(int64(len(c.Body) + len(result.Body)))
 		err = h.Bodies.WriteWithin(w, call.ReadTimeout(config), c.ID, len(result.Body), func() error {
 			return writeResult(w, r.Header.Get(requestHeader), result)
