fix(caller): relayed calls respect evacuated and cold servers

The servers for relayed calls without a key were chosen past the checks of the balancer, so an evacuated or cold server of an unreachable domain could get calls.

Evidence: TestRelayedCallsRespectTheServers fails without the change.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -233,7 +233,7 @@
 	for {
 		server := r.balancer.pick(route, state.triedHosts)
 		if server == nil && !state.hasDeferred() {
-			return r.selectCutOff(state)
+			return r.selectCutOff(route, state)
 		}
 		if server == nil || r.leaving.accepts(server) {
 			return server
--- a/caller/relay_links.go
+++ b/caller/relay_links.go
@@ -41,7 +41,7 @@
 	}
 	for i := range route.Servers {
 		s := &route.Servers[i]
-		if s.IsUsable && !s.IsShuttingDown && !state.triedHosts[s.Host] && r.isCutOff(s) {
+		if s.takesUnkeyed() && !state.triedHosts[s.Host] && r.isCutOff(s) {
 			state.triedHosts[s.Host] = true
 			state.cutOff = append(state.cutOff, s)
 		}
@@ -63,13 +63,19 @@
 func (s *callState) hasDeferred() bool { return len(s.deferredHosts) > 0 }
 
 // selectCutOff returns a server in an unreachable domain, with the server through whose daemon it is reached, or nil. It
-// is for calls without a key that have no other server.
-func (r *Relay) selectCutOff(state *callState) *Server {
+// is for calls without a key that have no other server. A cold server gets no relayed calls, since its share of calls is
+// counted for direct ones.
+func (r *Relay) selectCutOff(route *ServiceRoute, state *callState) *Server {
+	now := r.clock.Now()
 	for len(state.cutOff) > 0 {
 		i := rand.IntN(len(state.cutOff))
 		s := state.cutOff[i]
 		state.cutOff = append(state.cutOff[:i:i], state.cutOff[i+1:]...)
-		if relayed := r.relayed(s, state); relayed != nil && r.leaving.accepts(s) {
+		current := route.byHost[s.Host] // the routes may have changed meanwhile
+		if current == nil || !current.takesUnkeyed() || current.isLimited(now) || !r.leaving.accepts(current) {
+			continue
+		}
+		if relayed := r.relayed(current, state); relayed != nil {
 			return relayed
 		}
 	}
--- a/caller/relay_links_test.go
+++ b/caller/relay_links_test.go
@@ -69,6 +69,11 @@
 		"keyed": caller.NewServiceRoute(true, []caller.Server{server("k1", "z1"), server("k2", "z2")}, record),
 		"mixed": caller.NewServiceRoute(false, []caller.Server{server("m1", "z1"), server("m2", "z2")}, nil),
 		"far":   caller.NewServiceRoute(false, []caller.Server{server("f1", "z1"), server("f2", "z1")}, nil),
+		"evacuated": caller.NewServiceRoute(false, []caller.Server{
+			{Host: "e1", Domain: "z1", IsUsable: true, IsEvacuated: true},
+			{Host: "e2", Domain: "z1", IsUsable: true, ColdRate: 1, WarmupUntil: clock.Now().Add(time.Hour)},
+			{Host: "e3", Domain: "z1", IsUsable: true, IsShuttingDown: true},
+		}, nil),
 	}, clock)
 	relay.SetLoadAware(isLoadAware)
 	relay.UseReach(caller.NewReach("z0", func(caller.ReachChange) {}))
@@ -121,6 +126,17 @@
 	}
 }
 
+// TestRelayedCallsRespectTheServers guards against relayed calls to servers that are evacuated, cold or shutting down, which
+// get no direct ones.
+func TestRelayedCallsRespectTheServers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	relay, w := linkRelay(true)
+	w.isCut = true
+	learn(g, relay, w)
+	g.Expect(w.do(relay, "id", "evacuated", 0, true).Outcome).To(gomega.Equal(class.NotRun))
+	g.Expect(w.direct + w.via).To(gomega.BeZero())
+}
+
 // TestRelayedCallsRunOnce guards against a relayed call that runs twice, or is said not to have run, because its answer was
 // lost on the way.
 func TestRelayedCallsRunOnce(t *testing.T) {
