--- a/peer/hop.go
+++ b/peer/hop.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -55,6 +56,8 @@
 	reservationHeader = "Skylark-Hop-Reservation"
 	// sentHeader is when a call was sent, by the sender's boot clock. See delayMeter.
 	sentHeader = "Skylark-Hop-Sent"
+	// viaHeader is the host whose daemon is to forward a call to the host that it is meant for. See SendVia.
+	viaHeader = "Skylark-Hop-Via"
 )
 
 const (
@@ -222,20 +225,31 @@
 	if rejected != nil {
 		return *rejected
 	}
+	return h.send(ctx, host, address, c, func(header http.Header) {
+		if reservation != "" {
+			header.Set(reservationHeader, reservation)
+		}
+	})
+}
+
+// send sends a call to the daemon at an address, with the headers that addHeaders adds.
+func (h *HopClient) send(
+	ctx context.Context, host ownership.HostID, address string, c call.Call, addHeaders func(http.Header),
+) call.Result {
 	remaining := c.Deadline.Sub(h.clock.Now())
 	if remaining <= 0 {
 		return call.NotRun(call.Late)
 	}
 	header := h.callHeader(host, c, c.Header.Clone())
 	header.Set(timeLeftHeader, strconv.FormatInt(remaining.Microseconds(), 10))
-	if reservation != "" {
-		header.Set(reservationHeader, reservation)
-	}
+	addHeaders(header)
 	response, err := h.poolFor(address).Do(ctx, backend.NewRequest(c, header), "", func(r *http.Response, _ bool) bool {
 		return r.Header.Get(requestHeader) == string(c.ID)
 	})
 	if err != nil {
-		return backend.ErrorResult(ctx, err, !h.clock.Now().Before(c.Deadline))
+		result := backend.ErrorResult(ctx, err, !h.clock.Now().Before(c.Deadline))
+		result.IsUnacknowledged = errors.Is(err, syscall.ETIMEDOUT)
+		return result
 	}
 	return parseResult(response)
 }
@@ -309,10 +323,17 @@
 	Runner  CallRunner
 	Host    ownership.HostID
 	Service class.Service
-	// Memory bounds the memory of incomplete requests.
-	Memory    *link.Memory
+	// Memory bounds the memory of bodies.
+	Memory *link.Memory
+	// Bodies is told of bodies that are rejected or not read.
+	Bodies call.BodyObserver
+	// Config returns the configuration in force, or nil. It gives how long another daemon may take to read a response.
+	Config    func() *class.Config
 	Clock     clockwork.Clock
 	BootClock ownership.Clock
+	// Forward sends a call for another host to its daemon, on behalf of a daemon that cannot reach it. Nil means that no
+	// calls are forwarded.
+	Forward func(ctx context.Context, host ownership.HostID, c call.Call) call.Result
 	// OnInvalid gets the errors of invalid requests, whose calls do not run.
 	OnInvalid func(error)
 	// OnArrival is called for each valid call, before it runs.
@@ -326,23 +347,31 @@
 func (h HopReceiver) Handler() http.Handler {
 	delays := newDelayMeter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		config := h.Config()
 		if h.Transfers.isReservation(r) {
 			h.serveReservation(w, r, delays)
 			return
 		}
+		hold := h.Memory.Hold()
+		defer hold.Release()
 		upload := h.Transfers.beginUpload(r)
-		c, delay, err := h.parseCall(w, r, delays)
+		c, delay, err := h.parseCall(w, r, delays, &hold)
 		upload.end(h.Clock.Now(), &c)
 		isMisrouted := r.Header.Get(targetHeader) != string(h.Host) || c.Service != h.Service
 		var result call.Result
 		var exceeded *link.MemoryError
+		var noRoom *call.NoRoomError
 		switch {
+		case errors.As(err, &noRoom):
+			result = h.Bodies.Reject(c.ID, err)
 		case errors.As(err, &exceeded):
 			h.OnInvalid(err)
 			result = call.NotRun(call.Overload)
 		case err != nil:
 			h.OnInvalid(err)
 			result = call.NotRun(call.BadRequest)
+		case isMisrouted && h.isVia(r, config):
+			result = h.forward(r, c)
 		case isMisrouted:
 			result = call.NotRun(call.NotOwner)
 		default:
@@ -353,8 +382,14 @@
 			}
 			result = h.run(r.Context(), c)
 		}
-		result.Host = string(h.Host)
-		if err := writeResult(w, r.Header.Get(requestHeader), result); err != nil && r.Context().Err() == nil {
+		if result.Host == "" {
+			result.Host = string(h.Host)
+		}
+		hold.Raise(int64(len(c.Body) + len(result.Body)))
+		err = h.Bodies.WriteWithin(w, call.ReadTimeout(config), c.ID, len(result.Body), func() error {
+			return writeResult(w, r.Header.Get(requestHeader), result)
+		})
+		if err != nil && r.Context().Err() == nil {
 			h.OnInvalid(&MessageError{Part: "response", Cause: err.Error()})
 		}
 	})
@@ -368,10 +403,10 @@
 	return h.runTransfer(ctx, c)
 }
 
-// parseCall decodes a forwarded call and how much longer than usual it was on its way. The deadline is sent as the
-// time that remained when the call was sent, so that the hosts' clocks need not agree.
+// parseCall decodes a forwarded call and how much longer than usual it was on its way, and adds its body to the hold. The
+// deadline is sent as the time that remained when the call was sent, so that the hosts' clocks need not agree.
 func (h HopReceiver) parseCall(
-	w http.ResponseWriter, r *http.Request, delays *delayMeter,
+	w http.ResponseWriter, r *http.Request, delays *delayMeter, hold *link.Hold,
 ) (call.Call, time.Duration, error) {
 	arrived := h.Clock.Now()
 	delay, err := delays.observe(r.Header.Get(sentHeader), h.BootClock.Now())
@@ -413,8 +448,12 @@
 		}
 		c.Key, c.HasKey = class.Key(key), true
 	}
+	// Daemons always state the length.
+	if err := call.ReserveBodies(hold, h.Memory, c.Class.Bulk, min(r.ContentLength, hopMaxBody)); err != nil {
+		return c, delay, err
+	}
 	if r.ContentLength != 0 {
-		c.Body, err = h.Memory.ReadAll(http.MaxBytesReader(w, r.Body, hopMaxBody))
+		c.Body, err = h.Memory.ReadBody(http.MaxBytesReader(w, r.Body, hopMaxBody), r.ContentLength)
 		var exceeded *link.MemoryError
 		if errors.As(err, &exceeded) {
 			return c, delay, exceeded
