fix(admission): the time of an unanswered call is no run time

Calls that a hanging server left unanswered counted as runs, so that the usual run time rose until further timeouts no longer counted and new calls were rejected for it: the limit stayed at 6 of 8. They count against the limit only.

The stand-in reports a request that it cannot queue only if the daemon has not given it up: at a machine load of 60 its process paused for so long that it read requests whose connections had been closed before.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -275,7 +275,8 @@
 
 // TimedOut ends the ticket of a call that the server did not answer until its deadline. It returns the concurrency limit
 // and whether the call has lowered it. A call that had less time than its latency target and unanswerableFactor times its
-// usual run time shows nothing about the server.
+// usual run time shows nothing about the server. The time of one that had more is no run time: it would raise the usual run
+// time so far that the next timeouts no longer count.
 func (t *Ticket) TimedOut(latency time.Duration) (limit int, isLowered bool) {
 	t.finish(func(now time.Time) {
 		c := t.controller
@@ -286,8 +287,9 @@
 			before := c.limit.Current()
 			c.limit.TimedOut()
 			isLowered = c.limit.Current() < before
+		} else {
+			c.policy.Done(now, t.job, waited)
 		}
-		c.policy.Done(now, t.job, waited)
 		limit = c.limit.Current()
 	})
 	return limit, isLowered
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -303,7 +303,7 @@
 	}
 	if !s.acquireSlot(r) {
 		if s.warmup.settings.WarmupRate > 0 {
-			s.checker.ReportViolation("request %s reached %s, which has %d requests queued", id, s.instance, maxQueued)
+			s.reportExcess(r, id)
 			hang(r)
 		}
 		s.reject(w, http.StatusServiceUnavailable)
--- a/standin/deployment/warmup.go
+++ b/standin/deployment/warmup.go
@@ -96,6 +96,19 @@
 	panic(http.ErrAbortHandler) // closes the connection without a response
 }
 
+// excessGrace is how long the connection of an excess request has to stay open for it to count. After a pause of this
+// process, requests arrive that the daemon gave up during the pause.
+const excessGrace = 250 * time.Millisecond
+
+// reportExcess reports a request that a server cannot queue, unless the daemon has given it up.
+func (s *Server) reportExcess(r *http.Request, id string) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(excessGrace):
+		s.checker.ReportViolation("request %s reached %s, which has %d requests queued", id, s.instance, maxQueued)
+	}
+}
+
 // HangServer makes the host's backend server, if one runs, leave the requests of the given time unanswered.
 func (h *Host) HangServer(d time.Duration) {
 	if server := h.currentServer(); server != nil {
