fix(admission): nested calls wait until their deadline, not their latency target

Rejections by servers that have room no longer count as a lack of capacity of the called service: fewer runs would not help.

--- a/admission/load_aware.go
+++ b/admission/load_aware.go
@@ -20,6 +20,9 @@
 	// maxLateWaitShare bounds the wait of a job that cannot meet its latency target, as a share of that target. Capacity
 	// that is free only later belongs to the calls that arrive until then.
 	maxLateWaitShare = 1.0
+	// nestedTimeShare is the share of the time until its deadline within which a nested call is to end. The rest is left
+	// to the run that waits for it.
+	nestedTimeShare = 0.7
 	// admittedWindow is the time constant of the rate at which jobs of a class were admitted.
 	admittedWindow = 300 * time.Millisecond
 	// minServedShare is the share of its offered work that a class is guaranteed if more urgent classes use all of the
@@ -73,7 +76,9 @@
 func (t *TargetPolicy) offerByTarget(now time.Time, s *classState, job *Job) bool {
 	wait := t.targetWait(now, s, job.IsReturn)
 	s.load.refusals.offered++
-	if t.meetsTarget(s, wait, job.IsReturn) && s.queue.len() < maxQueueLength {
+	isInTime := t.meetsTarget(s, wait, job.IsReturn) ||
+		s.isNested && wait <= s.targetOf(job)-time.Duration(runMargin*float64(t.expectedRunTime(s)))
+	if isInTime && s.queue.len() < maxQueueLength {
 		s.load.admit(now, s.serviceTime)
 		s.queue.push(job)
 		return true
@@ -89,6 +94,15 @@
 	return false
 }
 
+// targetOf returns the time within which a job is to end. A nested call serves its run as long as it ends before its
+// deadline, which is the run's own or earlier. If it failed for its latency target, the whole run would be lost.
+func (s *classState) targetOf(job *Job) time.Duration {
+	if !s.isNested {
+		return s.class.Latency
+	}
+	return max(s.class.Latency, time.Duration(nestedTimeShare*float64(job.Deadline.Sub(job.Arrived))))
+}
+
 // refuse sets the Retry-After of a job that is rejected or dropped.
 func (t *TargetPolicy) refuse(now time.Time, s *classState, wait time.Duration, job *Job) {
 	s.load.refusals.refused++
@@ -242,7 +256,7 @@
 	margin := time.Duration(startMargin * float64(run))
 	for job := s.queue.peek(); job != nil; job = s.queue.peek() {
 		waited := now.Sub(job.Arrived)
-		if waited+margin <= s.class.Latency || waited <= time.Duration(minWaitShare*float64(s.class.Latency)) {
+		if waited+margin <= s.targetOf(job) || waited <= time.Duration(minWaitShare*float64(s.class.Latency)) {
 			break
 		}
 		s.lateQueue.push(s.queue.pop())
--- a/caller/nesting.go
+++ b/caller/nesting.go
@@ -44,6 +44,10 @@
 		switch result.Reason {
 		case call.UnknownClass, call.BadRequest, call.TooLarge, call.NotConfigured, call.Closing, call.Quarantined:
 			return o, false
+		case call.Shed, call.Refused:
+			// Admission control sends a server only what it has room for. One that rejects calls nevertheless does so
+			// regardless of their number, and fewer runs would not help.
+			return o, false
 		}
 	}
 	switch {
