fix(admission): reservations of uploads respect cold and evacuated servers

The check before the body of an upload did not know that a cold server rejects calls that it cannot start in time, nor that a server may be left only calls with a key. The body was sent and the call then rejected. The check now applies both rules. TestCheckWaitWhileCold and TestCanStart fail without it.

--- a/admission/check_wait.go
+++ b/admission/check_wait.go
@@ -21,6 +21,10 @@
 	}
 	wait := c.expectedWait(now, r.Class.Name, r.IsReturn) +
 		time.Duration(max(0, ahead))*serviceTime/time.Duration(limit)
+	job := &Job{Class: r.Class.Name, Arrived: now, Deadline: r.Deadline}
+	if delay := c.rejectWhileCold(now, job, r.Class.Latency); delay > 0 {
+		return &RejectedError{Class: r.Class.Name, Reason: Cold, RetryAfter: delay}
+	}
 	checker, canCheck := c.policy.(admissionChecker)
 	switch {
 	case now.Add(wait + serviceTime).After(r.Deadline), canCheck && !checker.WouldQueue(now, r):
--- a/admission/check_wait_test.go
+++ b/admission/check_wait_test.go
@@ -46,3 +46,28 @@
 	request.Deadline = clock.Now().Add(time.Hour)
 	g.Expect(controller.CheckWait(request, 0)).NotTo(gomega.BeNil())
 }
+
+// TestCheckWaitWhileCold guards against bodies that are sent to a cold server, which then rejects their calls.
+func TestCheckWaitWhileCold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	controller := admission.NewController(admission.NewTargetPolicy(100), 100, clock)
+	request := admission.Request{Class: browse, Deadline: clock.Now().Add(time.Minute)}
+	g.Expect(controller.CheckWait(request, 0)).To(gomega.BeNil())
+	controller.SetWarmup(admission.NewWarmupLimit(1, 1, 1), clock.Now().Add(10*time.Second))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 50 {
+		rejected := controller.CheckWait(request, 0)
+		if rejected != nil {
+			g.Expect(rejected.Reason).To(gomega.Equal(admission.Cold))
+			g.Expect(rejected.RetryAfter).To(gomega.BeNumerically(">", 0))
+			return
+		}
+		before := controller.State()
+		go func() { _, _ = controller.AcquireFor(ctx, request, nil) }()
+		g.Eventually(func() int { s := controller.State(); return s.Running + s.Waiting }).
+			Should(gomega.Equal(before.Running + before.Waiting + 1))
+	}
+	t.Error("a cold server takes any number of calls")
+}
--- a/backend/reserve.go
+++ b/backend/reserve.go
@@ -17,7 +17,7 @@
 	}
 	permit := r.current.Load()
 	isPermitted := permit.allows(r.clock.Now(), c)
-	if permit.IsUsable && !isPermitted && r.isAssigned != nil {
+	if permit.isUsableFor(c) && !isPermitted && r.isAssigned != nil {
 		isPermitted, _ = r.isAssigned(c.Key) // the call may wait for its key
 	}
 	if r.isRejected(c) || permit.client == nil || !isPermitted {
--- a/backend/reserve_test.go
+++ b/backend/reserve_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkrelay/skylarkrelay/backend"
 	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 )
 
@@ -60,4 +61,12 @@
 		r, _ = newRunner(address, change)
 		g.Expect(reason(0)).To(gomega.Equal(call.NotOwner), name)
 	}
+
+	assigned := func(class.Key) (bool, <-chan struct{}) { return true, nil }
+	r, _ = newRunner(address, func(p *backend.Permit) { p.Keys = keyspace.Map[bool]{} })
+	r.WaitForKeys(assigned)
+	g.Expect(reason(0)).To(gomega.Equal(call.None), "its key is on the way")
+	r, _ = newRunner(address, func(p *backend.Permit) { p.IsKeysOnly, p.IsKeyed = true, false })
+	r.WaitForKeys(assigned)
+	g.Expect(reason(0)).To(gomega.Equal(call.NotOwner), "its domain is evacuated")
 }
