fix(evacuation): servers taken back are limited as cold; no health checks of evacuated servers

Cold servers and evacuations were merged apart: a server of a domain that was taken back was announced as cold but not limited, and health checks, which are requests too, went on after the bound. The tests of daemon pass.

--- a/daemon/evacuation.go
+++ b/daemon/evacuation.go
@@ -178,6 +178,7 @@
 	isOwn := domain == c.daemon.settings.FailureDomain
 	if isOwn {
 		c.server.takenBackAt = now
+		c.runner.SuspectRestart(c.server.heartbeat.Instance, "failure domain taken back")
 	}
 	c.log.Warn("failure domain taken back", "domain", domain, "revision", store.Revision(version).String(), "own", isOwn)
 	c.observer.counter("evacuation.ended").inc()
--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -154,3 +154,21 @@
 	c.config = &class.Config{Services: map[class.Service]class.ServiceSettings{"s": {}}}
 	g.Expect(viewEvacuation(c, now).isAnnounced).To(gomega.BeFalse(), "without keys")
 }
+
+// TestServerTakenBackIsLimitedAsCold guards against a flood on a server that became cold while its domain was evacuated, and
+// against health checks, which are requests too, of a server of an evacuated domain.
+func TestServerTakenBackIsLimitedAsCold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c, heartbeat := warmupControl(warmupConfig(7.1))
+	now := ownership.Instant(time.Minute)
+	g.Expect(heartbeat(1, 0, nil)).To(gomega.Succeed())
+	c.startEvacuation(now, "d", 1)
+	c.warmup.isCheckRequested.Store(true)
+	c.checkWarmup(now)
+	g.Expect(c.observer.counter("warmup.checks").Count()).To(gomega.BeZero())
+	c.endEvacuation(now, "d", 2)
+	g.Expect(c.runner.State().IsCold).To(gomega.BeTrue(), "until a newer heartbeat")
+	c.clock.(*clockwork.FakeClock).Advance(time.Second)
+	g.Expect(heartbeat(2, 0, nil)).To(gomega.Succeed())
+	g.Expect(c.runner.State().IsCold).To(gomega.BeFalse())
+}
--- a/daemon/warmup.go
+++ b/daemon/warmup.go
@@ -95,7 +95,9 @@
 	path := c.config.Services[c.service].HealthPath
 	isDue := w.isCheckRequested.Load() && now.Sub(w.checkedAt) >= minCheckInterval ||
 		cold.IsSuspected && now.Sub(w.checkedAt) >= suspicionInterval
-	if !isDue || w.isChecking || path == "" || s.isClosed() {
+	// A health check is a request too, so a server of an evacuated domain gets none after the bound.
+	mayCheck := path != "" && !s.isClosed() && c.mayUseDomain(now, c.daemon.settings.FailureDomain)
+	if !isDue || w.isChecking || !mayCheck {
 		return
 	}
 	w.isChecking, w.checkedAt = true, now
