fix(backend): a call ends at the server when its caller leaves

The connection is closed at once again, and the slot is kept until the deadline only while the server leaves calls unanswered.

TestCallOfDepartedCallerKeepsItsSlot and TestAbandonedCallKeepsItsRoom now make the server hang first: they required the old behaviour of any server. TestCallEndsWhenItsCallerLeaves fails without the change.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -130,6 +130,13 @@
 // OnEnd sets a function that is called when the ticket ends. The call may outlive the one who waits for it.
 func (t *Ticket) OnEnd(onEnd func()) { t.onEnd = onEnd }
 
+// IsUnanswering reports whether the server has left the last calls unanswered until their deadline.
+func (c *Controller) IsUnanswering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limit.timeouts > 0
+}
+
 // Acquire queues a call until it may run, and returns its ticket, which must be ended with Done, Shed or Cancel. It
 // returns a RejectedError if the call is rejected, if ctx is canceled, or if the channel canceled is closed.
 func (c *Controller) Acquire(ctx context.Context, callClass *class.Class, deadline time.Time,
--- a/backend/detached.go
+++ b/backend/detached.go
@@ -1,11 +1,8 @@
 package backend
 
 import (
-	"context"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/call"
 )
@@ -24,36 +21,16 @@
 // and the observer must not block.
 func (r *Runner) ObserveUnanswered(onUnanswered func(UnansweredCall)) { r.onUnanswered = onUnanswered }
 
-// runDetached sends an admitted call and waits for the result. If the caller leaves, the call goes on until the server
-// answers or the deadline that the server was told has passed: the server may still be at work, and would be sent more
-// than it can run if the call no longer counted.
-func (r *Runner) runDetached(
-	ctx context.Context, c call.Call, ticket *admission.Ticket, permit *activePermit,
-) call.Result {
-	if ctx.Err() != nil {
-		ticket.Cancel()
-		return call.NotRun(call.EndReason(ctx))
-	}
-	results := make(chan call.Result, 1)
-	go func() {
-		ctx, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), r.clock, c.Deadline)
-		defer cancel()
-		results <- r.send(ctx, c, ticket, permit)
-	}()
-	select {
-	case result := <-results:
-		return result
-	case <-ctx.Done():
-	}
-	if call.EndReason(ctx) == call.Late {
-		return <-results // the deadline is that of the call, too
-	}
-	select {
-	case result := <-results:
-		return result
-	default:
-		return call.Unknown(call.CallerGone)
+// endAbandoned ends the ticket of a call whose caller left before the server answered. The connection is closed, and most
+// servers drop the request then. One that leaves calls unanswered may not notice it, and would be sent more than it can run
+// if the call no longer counted: it counts until the deadline that the server was told.
+func (r *Runner) endAbandoned(c call.Call, ticket *admission.Ticket) {
+	left := c.Deadline.Sub(r.clock.Now())
+	if left <= 0 || !r.isLoadAware.Load() || !r.controller.IsUnanswering() {
+		ticket.Done()
+		return
 	}
+	r.clock.AfterFunc(left, ticket.Cancel)
 }
 
 // endUnanswered ends the ticket of a call that the server did not answer until its deadline.
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -431,9 +431,6 @@
 		ticket.Cancel()
 		return call.NotRun(call.NotOwner)
 	}
-	if r.isLoadAware.Load() {
-		return r.runDetached(ctx, c, ticket, permit)
-	}
 	ctx, cancel := clockwork.WithDeadline(ctx, r.clock, c.Deadline)
 	defer cancel()
 	return r.send(ctx, c, ticket, permit)
@@ -463,6 +460,8 @@
 	r.addDemand(c, runTime)
 	r.observeRunTime(permit, c, runTime, result)
 	switch {
+	case result.Outcome == class.Unknown && result.Reason == call.CallerGone:
+		r.endAbandoned(c, ticket)
 	case result.Reason == call.TimedOut && r.isLoadAware.Load():
 		r.endUnanswered(c, ticket, r.clock.Since(start))
 	case result.Reason == call.Shed:
