feat(caller): servers for calls without a key are chosen by capacity

An entry daemon sends each of 34 servers half a call a second, so that what it learned from its own responses is mostly too old, and it did not use the announced run times. In load-aware configurations it now compares three candidates, drawn in proportion to their spare capacity, by run time and by the probability that the server is full.

--- a/admission/load_aware.go
+++ b/admission/load_aware.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/skylarkrelay/skylarkrelay/capacity"
 )
 
 const (
@@ -168,7 +170,24 @@
 		rate -= load
 	}
 	rate = max(rate, t.starvationShare(s), minEstimateRate)
-	return t.nextEnd() + time.Duration(work/rate*float64(time.Second))
+	wait := t.nextEnd() + time.Duration(work/rate*float64(time.Second))
+	// The pace that was measured lags behind a moment in which the server says that it is slow.
+	return time.Duration(float64(wait) * max(1, t.slowdown.At(now)/t.pace.factor()))
+}
+
+// SetSlowdown sets how many times as long as usual the server says that its requests take at the moment.
+func (t *TargetPolicy) SetSlowdown(s capacity.Slowdown) { t.slowdown = s }
+
+// slowdownAware is implemented by policies whose estimates depend on what the server states about its pace.
+type slowdownAware interface{ SetSlowdown(s capacity.Slowdown) }
+
+// SetSlowdown sets how many times as long as usual the server says that its requests take at the moment.
+func (c *Controller) SetSlowdown(s capacity.Slowdown) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.policy.(slowdownAware); ok {
+		p.SetSlowdown(s)
+	}
 }
 
 // mayStart reports whether the slot reserve permits a job of a class to start.
--- a/admission/target_policy.go
+++ b/admission/target_policy.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/skylarkrelay/skylarkrelay/capacity"
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
@@ -99,6 +100,7 @@
 	// and nextByTarget.
 	isLoadAware bool
 	pace        pace
+	slowdown    capacity.Slowdown
 	reserve     slotReserve
 	// random is the source of the jitter of Retry-After.
 	random *rand.Rand
--- a/backend/notice.go
+++ b/backend/notice.go
@@ -6,6 +6,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/capacity"
 	"github.com/skylarkrelay/skylarkrelay/class"
 )
 
@@ -44,6 +45,7 @@
 	rate statedLimit
 	// isLeaving reports whether a response stated that the server is leaving.
 	isLeaving bool
+	slowdown  capacity.Slowdown
 }
 
 func newNotices() notices { return notices{rate: statedLimit{limit: rate.Inf}} }
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -255,6 +255,7 @@
 		Concurrency: state.Limit,
 		QueueDelay:  state.Wait,
 		RateDelay:   state.RateDelay,
+		Slowdown:    r.slowdown(),
 	}
 }
 
@@ -502,6 +503,7 @@
 			r.noticeObserver.Invalid(err)
 		}
 	}
+	r.observeSlowdown(result.Notice.Load)
 	if result.Notice.IsLeaving && !r.stated.isLeaving {
 		r.stated.isLeaving = true
 		r.noticeObserver.Leaving(permit.Instance, c.ID)
--- a/call/call.go
+++ b/call/call.go
@@ -155,6 +155,9 @@
 	// RateDelay is the part of it that is due to the rate limit of the server. A server at its limit may have no calls
 	// running or waiting.
 	RateDelay time.Duration
+	// Slowdown is how many times as long as usual the server says that its requests take at the moment. Zero or one is
+	// normal operation.
+	Slowdown float64
 }
 
 // NotRun returns the result of a call that is known not to have started.
--- a/caller/balancer.go
+++ b/caller/balancer.go
@@ -45,6 +45,8 @@
 	ejectedUntil time.Time
 	load         call.Load
 	loadTime     time.Time
+	// begunSinceLoad counts the calls in flight that began after the load was reported.
+	begunSinceLoad int
 	// failureRate is a moving average: the fraction of recent calls that failed.
 	failureRate float64
 }
@@ -59,6 +61,9 @@
 	stats  map[ownership.HostID]*serverStats
 	random *rand.Rand
 	cold   coldServers
+	// outlooks is what is expected of the servers from announcements, and isCapacityAware whether servers are chosen by it.
+	outlooks        outlooks
+	isCapacityAware bool
 }
 
 func newBalancer(domain ownership.FailureDomain, clock clockwork.Clock, random *rand.Rand) *balancer {
@@ -74,8 +79,9 @@
 // maxCandidates is the number of servers that pick compares. If there are more, it compares a random subset.
 const maxCandidates = 8
 
-// pick returns the usable server with the lowest score, or nil if there is none. It skips the servers in tried.
-func (b *balancer) pick(route *ServiceRoute, tried map[ownership.HostID]bool) *Server {
+// pick returns the server to which a call is sent: the usable one with the lowest score, or nil if there is none. It skips
+// the servers in tried.
+func (b *balancer) pick(route *ServiceRoute, tried map[ownership.HostID]bool, c *call.Call) *Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -83,6 +89,9 @@
 	if s := b.cold.take(now, cold); s != nil {
 		return s
 	}
+	if outlook := b.outlookOf(c); outlook != nil {
+		return b.pickByCapacity(outlook, candidates, c)
+	}
 	if len(candidates) > maxCandidates {
 		b.random.Shuffle(len(candidates), func(i, j int) {
 			candidates[i], candidates[j] = candidates[j], candidates[i]
@@ -155,7 +164,9 @@
 func (b *balancer) begin(host ownership.HostID) (endCall func(call.Result)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.statsOf(host).inFlight++
+	s := b.statsOf(host)
+	s.inFlight++
+	s.begunSinceLoad++
 	start := b.clock.Now()
 	return func(result call.Result) { b.end(host, start, result) }
 }
@@ -170,8 +181,9 @@
 	s := b.statsOf(host)
 	s.inFlight--
 	if result.Load != nil {
-		s.load, s.loadTime = *result.Load, now
+		s.load, s.loadTime, s.begunSinceLoad = *result.Load, now, 0
 	}
+	s.begunSinceLoad = min(s.begunSinceLoad, s.inFlight)
 	if result.Reason == call.CallerGone {
 		return
 	}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -27,11 +27,16 @@
 	results []call.Result
 	hosts   []ownership.HostID
 	calls   []call.Call
+	// onSend is called for each attempt, if set.
+	onSend func(ownership.HostID)
 }
 
 func (s *scriptedSender) Send(_ context.Context, to *caller.Server, c call.Call) call.Result {
 	s.hosts = append(s.hosts, to.Host)
 	s.calls = append(s.calls, c)
+	if s.onSend != nil {
+		s.onSend(to.Host)
+	}
 	if len(s.results) == 0 {
 		return answered(200)
 	}
--- a/caller/cold_share_test.go
+++ b/caller/cold_share_test.go
@@ -38,7 +38,7 @@
 			cold := 0
 			for range 3 * callsPerSecond {
 				b := balancers[random.IntN(daemons)]
-				s := b.pick(route, nil)
+				s := b.pick(route, nil, &call.Call{})
 				endCall := b.begin(s.Host)
 				endCall(call.Result{Outcome: class.Answered, Status: 200})
 				if s == &route.Servers[0] {
@@ -59,7 +59,7 @@
 	b := newBalancer("d", clock, rand.New(rand.NewPCG(1, 1)))
 	route := NewServiceRoute(false, []Server{server}, nil)
 	for range 5 {
-		g.Expect(b.pick(route, nil)).NotTo(gomega.BeNil())
+		g.Expect(b.pick(route, nil, &call.Call{})).NotTo(gomega.BeNil())
 	}
 }
 
@@ -72,8 +72,8 @@
 	other := Server{Host: "b", IsUsable: true, Concurrency: 8}
 	b := newBalancer("d", clock, rand.New(rand.NewPCG(1, 1)))
 	route := NewServiceRoute(false, []Server{cold, other}, nil)
-	g.Expect(b.pick(route, nil).Host).To(gomega.BeEquivalentTo("b"))
+	g.Expect(b.pick(route, nil, &call.Call{}).Host).To(gomega.BeEquivalentTo("b"))
 	b.statsOf("b").latency = time.Second
-	g.Expect(b.pick(route, nil).Host).To(gomega.BeEquivalentTo("a"))
+	g.Expect(b.pick(route, nil, &call.Call{}).Host).To(gomega.BeEquivalentTo("a"))
 	g.Expect(b.cold.buckets).To(gomega.BeEmpty())
 }
--- a/caller/offers_load_test.go
+++ b/caller/offers_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -27,6 +28,7 @@
 type loadedServer struct {
 	controller *admission.Controller
 	speed      float64
+	pace       serverPace
 }
 
 // loadedService is a service without a network. Its daemons run their calls on servers whose run times are random.
@@ -39,9 +41,13 @@
 	// sender gets the offers in place of the service, if it is set.
 	sender caller.Sender
 
-	mu     sync.Mutex
-	random *rand.Rand
-	offers int
+	mu       sync.Mutex
+	random   *rand.Rand
+	offers   int
+	underWay map[ownership.HostID]int
+	calls    int
+	// choose replaces the server that a relay chose, if set.
+	choose func() ownership.HostID
 }
 
 func newLoadedService(servers, slots int, speeds []float64, runTimes map[class.Name]time.Duration) *loadedService {
@@ -49,6 +55,7 @@
 		clock:    clockwork.NewRealClock(), // the virtual time of synctest
 		servers:  map[ownership.HostID]*loadedServer{},
 		runTimes: runTimes,
+		underWay: map[ownership.HostID]int{},
 		random:   rand.New(rand.NewPCG(3, 5)),
 	}
 	for i := range servers {
@@ -92,12 +99,22 @@
 	s.offers++
 	runTime := s.runTimes[c.Class.Name].Seconds() * (0.5 + 0.5*s.random.ExpFloat64())
 	s.mu.Unlock()
+	host := to.Host
+	s.mu.Lock()
+	if s.choose != nil {
+		host = s.choose()
+	}
+	s.underWay[host]++
+	s.mu.Unlock()
 	s.clock.Sleep(oneWay)
+	s.mu.Lock()
+	s.underWay[host]--
+	s.mu.Unlock()
 	defer s.clock.Sleep(oneWay)
 	if s.ignoresMaxWait {
 		c.MaxWait = 0
 	}
-	server := s.servers[to.Host]
+	server := s.servers[host]
 	ticket, err := server.controller.AcquireFor(ctx, admission.Request{
 		Class: c.Class, Deadline: c.Deadline, MaxWait: c.MaxWait, IsReturn: c.IsReturn,
 	}, nil)
@@ -110,12 +127,16 @@
 		}[rejected.Reason])
 		result.RetryAfter = rejected.RetryAfter
 	} else {
-		s.clock.Sleep(time.Duration(runTime / server.speed * float64(time.Second)))
+		start := s.clock.Now()
+		runs := server.pace.stretch(start, time.Duration(runTime/server.speed*float64(time.Second)))
+		s.clock.Sleep(runs)
 		ticket.Done()
+		server.pace.ended(server.controller, c.Class.Name, start, s.clock.Now())
 	}
 	state := server.controller.State()
 	result.Load = &call.Load{
 		Running: state.Running, Waiting: state.Waiting, Concurrency: state.Limit, QueueDelay: state.Wait,
+		Slowdown: server.pace.stated(s.clock.Now()),
 	}
 	return result
 }
@@ -127,7 +148,16 @@
 }
 
 // callCounts counts the calls of a class by their end.
-type callCounts struct{ inTarget, late, rejected int }
+type callCounts struct {
+	inTarget, late, rejected int
+	// took holds the times to the answers.
+	took []time.Duration
+}
+
+// String implements fmt.Stringer.
+func (c callCounts) String() string {
+	return fmt.Sprintf("in target %d, late %d, rejected %d", c.inTarget, c.late, c.rejected)
+}
 
 func (c callCounts) total() int { return c.inTarget + c.late + c.rejected }
 
@@ -153,7 +183,11 @@
 					}
 					mu.Lock()
 					defer mu.Unlock()
+					s.calls++
 					n := counts[rate.class.Name]
+					if result.Outcome == class.Answered {
+						n.took = append(n.took, took)
+					}
 					switch {
 					case result.Outcome != class.Answered:
 						n.rejected++
@@ -195,7 +229,7 @@
 				s := newLoadedService(34, 6, []float64{0.7, 0.7, 1.6}, rRunTimes)
 				counts := s.run(s.relays(89, true), 8*time.Second,
 					callRate{class: roomConfirm, perSecond: 317 * load}, callRate{class: bookingCheck, perSecond: 1035 * load})
-				t.Logf("%+v, %d offers", counts, s.offers)
+				t.Logf("%v, %d offers", counts, s.offers)
 				checks, rooms := counts["booking-check"], counts["room-confirm"]
 				g.Expect(float64(checks.inTarget)).To(gomega.BeNumerically(">", 0.97*float64(checks.total())))
 				g.Expect(float64(checks.rejected)).To(gomega.BeNumerically("<", 0.005*float64(checks.total())))
@@ -213,7 +247,7 @@
 		relays := s.relays(4, true)
 		counts := s.run(relays, 8*time.Second, callRate{class: roomConfirm, perSecond: 3000})
 		rooms := counts["room-confirm"]
-		t.Logf("%+v, %d offers", counts, s.offers)
+		t.Logf("%v, %d offers", counts, s.offers)
 		g.Expect(s.offers).To(gomega.BeNumerically("<", rooms.total()))
 		// 48 slots run 228 calls a second.
 		g.Expect(rooms.inTarget).To(gomega.BeNumerically(">", 7*228*8/10))
@@ -228,7 +262,7 @@
 		s.ignoresMaxWait = true
 		counts := s.run(s.relays(4, true), 4*time.Second, callRate{class: bookingCheck, perSecond: 450})
 		checks := counts["booking-check"]
-		t.Logf("%+v, %d offers", counts, s.offers)
+		t.Logf("%v, %d offers", counts, s.offers)
 		g.Expect(float64(checks.rejected)).To(gomega.BeNumerically("<", 0.02*float64(checks.total())))
 	})
 }
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -231,7 +231,7 @@
 		return owner
 	}
 	for {
-		server := r.balancer.pick(route, state.triedHosts)
+		server := r.balancer.pick(route, state.triedHosts, &state.call)
 		if server == nil && !state.hasDeferred() {
 			return r.selectCutOff(route, state)
 		}
--- a/caller/relay_offers.go
+++ b/caller/relay_offers.go
@@ -22,8 +22,11 @@
 	Duration time.Duration
 }
 
-// SetLoadAware makes the relay offer calls without a key with a bounded wait, or not.
-func (r *Relay) SetLoadAware(isLoadAware bool) { r.bounded.isActive.Store(isLoadAware) }
+// SetLoadAware makes the relay offer calls without a key with a bounded wait and choose their servers by capacity, or not.
+func (r *Relay) SetLoadAware(isLoadAware bool) {
+	r.bounded.isActive.Store(isLoadAware)
+	r.balancer.setCapacityAware(isLoadAware)
+}
 
 // ObserveOffers sets the observer of bounded offers. It must be called before the first call, and the observer must not
 // block.
--- a/daemon/capacity.go
+++ b/daemon/capacity.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/capacity"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/membership"
@@ -74,6 +75,29 @@
 		s.estimators[service].Update(c.clock.Now(), serviceReports)
 	}
 	c.logCapacity()
+	c.reportServers(now)
+}
+
+// reportServers passes what was announced of all servers to the relay, which chooses servers for calls without a key by it.
+func (c *control) reportServers(now ownership.Instant) {
+	hosts := c.roster.Hosts()
+	reports := make([]caller.ServerReport, 0, len(hosts))
+	for _, h := range hosts {
+		report := caller.ServerReport{
+			Host:     h.Host,
+			Service:  serviceOf(h),
+			Domain:   h.Domain,
+			Instance: h.Announcement.Instance,
+			Slots:    h.Announcement.Concurrency,
+			Capacity: c.capacityOf(h),
+		}
+		if c.isFresh(h) && h.Announcement.IsUsable {
+			report.RunTimes = c.capacities.announced[h.Host].runTimes
+			report.Load, report.AnnouncedAt = h.Announcement.Load, clockTime(c.clock, now, h.AnnouncedAt)
+		}
+		reports = append(reports, report)
+	}
+	c.relay.SetServerReports(reports)
 }
 
 // decodeRunTimes returns the run times that a host announced. If they cannot be decoded, the last good ones stay in
--- a/peer/fields.go
+++ b/peer/fields.go
@@ -40,14 +40,20 @@
 
 const (
 	// requiredLoadFields are the running and the waiting calls, the concurrency limit, and the queue delay in microseconds.
-	// If there is a rate delay, it follows in microseconds.
+	// The rate delay in microseconds and the slowdown in percent follow if there are any. Daemons of earlier versions
+	// ignore fields that they don't know.
 	requiredLoadFields = 4
-	allLoadFields      = 5
+	allLoadFields      = 6
+	// normalSlowdown is the slowdown of normal operation in percent.
+	normalSlowdown = 100
 )
 
 func formatLoad(load call.Load) string {
 	delayUS := load.QueueDelay.Microseconds()
 	running, waiting, concurrency := int64(load.Running), int64(load.Waiting), int64(load.Concurrency)
+	if slowdown := int64(load.Slowdown*normalSlowdown + 0.5); slowdown > normalSlowdown {
+		return formatFields(running, waiting, concurrency, delayUS, load.RateDelay.Microseconds(), slowdown)
+	}
 	if load.RateDelay > 0 {
 		return formatFields(running, waiting, concurrency, delayUS, load.RateDelay.Microseconds())
 	}
@@ -69,6 +75,7 @@
 		Concurrency: int(fields[2]),
 		QueueDelay:  time.Duration(fields[3]) * time.Microsecond,
 		RateDelay:   time.Duration(fields[4]) * time.Microsecond,
+		Slowdown:    float64(max(0, fields[5])) / normalSlowdown,
 	}
 }
 
