feat(caller): hedged calls

A call that may be repeated and has no key waits for a slow server although another one is idle. With [hedging] share above zero it is sent to a second server once 95% of the answered attempts of its class would have come back, and the stated load of the first server explains no longer wait. The first good answer cancels the other attempt. Hedges are bounded by the share of the service's calls and draw on the retry budget.

--- a/caller/balancer.go
+++ b/caller/balancer.go
@@ -142,6 +142,32 @@
 	return score * (1 + failurePenalty*float64(stats.failures) + 4*stats.failureRate)
 }
 
+// expectedWait returns the wait that a server stated for a new call, or zero if that is too old.
+func (b *balancer) expectedWait(host ownership.HostID) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.statsOf(host)
+	if b.clock.Since(s.loadTime) >= maxLoadAge {
+		return 0
+	}
+	return max(s.load.QueueDelay, s.load.RateDelay)
+}
+
+// hasRoom reports whether a server can start a call at once, as far as is known: it is not ejected, full or at its rate
+// limit.
+func (b *balancer) hasRoom(server *Server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	s := b.statsOf(server.Host)
+	slots := max(1, server.Concurrency)
+	if now.Before(s.ejectedUntil) || s.inFlight >= slots {
+		return false
+	}
+	isStale := now.Sub(s.loadTime) >= maxLoadAge
+	return isStale || s.load.Running+s.load.Waiting < slots && s.load.RateDelay == 0
+}
+
 func (b *balancer) statsOf(host ownership.HostID) *serverStats {
 	s := b.stats[host]
 	if s == nil {
--- a/caller/bounded_offers.go
+++ b/caller/bounded_offers.go
@@ -164,6 +164,26 @@
 	return min(maxRest, time.Duration(restShare*float64(s.retryAfter)))
 }
 
+// shortWait returns how long a call may be queued at one server while others may start it at once.
+func (s *offerState) shortWait(c call.Call) time.Duration {
+	return max(minShortWait, time.Duration(shortWaitShare*float64(c.Class.Latency-s.runTime)))
+}
+
+// shortWait returns how long a call may be queued at one server while others may start it at once.
+func (b *boundedOffers) shortWait(c call.Call) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stateOf(c).shortWait(c)
+}
+
+// isRejecting reports whether the service has rejected the last call of the class, or rests after rejections.
+func (b *boundedOffers) isRejecting(c call.Call) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.stateOf(c)
+	return s.rejectedInRow > 0 || b.clock.Now().Before(s.restUntil)
+}
+
 // plan returns the bound of the next offer of a call that arrived at the given time and was rejected by a number of
 // servers. candidates is the number of servers that it has not been offered to.
 //
@@ -179,7 +199,7 @@
 	reserve := min(offerReserve, time.Duration(maxReserveShare*float64(left)))
 	untilDeadline := left - s.runTime - reserve
 	untilTarget := arrived.Add(c.Class.Latency - s.runTime).Sub(now)
-	short := max(minShortWait, time.Duration(shortWaitShare*float64(c.Class.Latency-s.runTime)))
+	short := s.shortWait(c)
 	bound := offerBound{number: rejections + 1}
 	isOnly := bound.number >= maxOffers || candidates <= 1 || s.saved < 1
 	switch {
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -55,6 +55,7 @@
 	onOffer      func(Offer)
 	answerTimes  *answerTimes
 	onResend     func(Resend)
+	hedges       *hedges
 	reach        *Reach
 	leaving      leavingServers
 	quarantine   *quarantine.List
@@ -79,6 +80,7 @@
 		onOffer:      func(Offer) {},
 		answerTimes:  newAnswerTimes(),
 		onResend:     func(Resend) {},
+		hedges:       newHedges(clock),
 		reach:        NewReach(domain, func(ReachChange) {}),
 		quarantine:   quarantine.NewList(clock),
 		leaving:      leavingServers{clock: clock, since: map[ownership.HostID]leavingServer{}},
@@ -105,6 +107,7 @@
 	r.leaving.prune(routes)
 	r.bounded.prune(routes)
 	r.answerTimes.prune(routes)
+	r.hedges.prune(routes)
 }
 
 // callState is the state of one call across its attempts.
@@ -166,6 +169,7 @@
 	if r.isRejectedAtEntry(state) {
 		return state.lastResult
 	}
+	r.hedges.recordCall(c)
 	for {
 		route, changed := r.table.Lookup(c.Service)
 		r.excludeCutOff(route, state)
@@ -277,39 +281,11 @@
 	return route != nil && route.IsKeyed && state.call.HasKey && !route.isEvacuated
 }
 
-// attempt sends the call once and records the result.
+// attempt sends the call once, or hedged to two servers, and records the result.
 func (r *Relay) attempt(ctx context.Context, target *Server, state *callState) {
 	state.call.IsRetry = state.sentAttempts > 0
-	endCall := r.balancer.begin(target.Host)
-	start := r.clock.Now()
-	result := r.send(ctx, target, state)
-	endCall(result)
-	if result.Outcome == class.Answered && r.bounded.isActive.Load() {
-		r.answerTimes.record(offerKey{service: state.call.Service, class: state.call.Class.Name}, r.clock.Since(start))
-	}
-	r.leaving.observe(target, result)
-	r.observeReach(target, result)
-	if isUnconnected(result) && target.Via == nil {
-		state.unconnected = append(state.unconnected, target)
-	}
-	state.lastResult = result
-	state.triedHosts[target.Host] = true
-	wasSent := result.Outcome != class.NotRun || result.Reason == call.Refused || result.Reason == call.Shed
-	if wasSent {
-		state.sentAttempts++
-	}
-	state.mayHaveRun = state.mayHaveRun || result.Outcome == class.Unknown
-	state.call.IsSuspected = state.call.IsSuspected || result.Reason == call.ServerEnded
-	if isRejection(result) {
-		state.recordRejection(state.bound.statedRetryAfter(result))
-	} else if result.Outcome != class.NotRun {
-		r.offers.recordAccepted(state.call.Service)
-	}
-	r.recordOffer(target, state, r.clock.Since(start))
-	if result.Outcome != class.Answered && result.Reason != call.WaitExceeded &&
-		result.Reason != call.LinkFull {
-		r.onUnanswered(Attempt{Call: state.call, Host: target.Host, Result: result, Duration: r.clock.Since(start)})
-	}
+	ended, result := r.send(ctx, r.begin(target, state.call, state.bound), state)
+	r.record(ended, result, state)
 }
 
 //go:generate go tool stringer -type=retryAction -linecomment
--- a/caller/relay_offers.go
+++ b/caller/relay_offers.go
@@ -83,24 +83,24 @@
 }
 
 // recordOffer records the result of a bounded offer.
-func (r *Relay) recordOffer(target *Server, state *callState, took time.Duration) {
-	if state.bound.number == 0 {
+func (r *Relay) recordOffer(o *outgoing, state *callState, took time.Duration) {
+	if o.bound.number == 0 {
 		return
 	}
 	result := state.lastResult
 	switch {
 	case isRejection(result):
-		r.bounded.recordRejected(state.call, state.bound, state.retryAfter)
-		if result.Reason == call.WaitExceeded && !state.bound.isLast {
-			state.deferredHosts = append(state.deferredHosts, target.Host)
+		r.bounded.recordRejected(o.call, o.bound, state.retryAfter)
+		if result.Reason == call.WaitExceeded && !o.bound.isLast {
+			state.deferredHosts = append(state.deferredHosts, o.target.Host)
 		}
 	case result.Outcome == class.Answered:
-		r.bounded.recordAccepted(state.call, state.bound, took)
+		r.bounded.recordAccepted(o.call, o.bound, took)
 	case result.Outcome == class.Unknown:
-		r.bounded.recordAccepted(state.call, state.bound, 0)
+		r.bounded.recordAccepted(o.call, o.bound, 0)
 	}
 	r.onOffer(Offer{
-		Call: state.call, Host: target.Host, Number: state.bound.number, IsLast: state.bound.isLast,
+		Call: o.call, Host: o.target.Host, Number: o.bound.number, IsLast: o.bound.isLast,
 		Result: result, Duration: took,
 	})
 }
--- a/caller/resend.go
+++ b/caller/resend.go
@@ -30,36 +30,46 @@
 // the observer must not block.
 func (r *Relay) ObserveResends(onResend func(Resend)) { r.onResend = onResend }
 
-// send sends a call to a server once. If another server may run the call as well, it gives the attempt up once nearly all
-// attempts of the class would have been answered, while the latency target remains: a server that is full never answers.
-func (r *Relay) send(ctx context.Context, target *Server, state *callState) call.Result {
+// send sends a call to a server, and to a second one if it is hedged. If another server may run the call as well, it gives
+// the attempt up once nearly all attempts of the class would have been answered, while the latency target remains: a server
+// that is full never answers. It returns the attempt whose result counts.
+func (r *Relay) send(ctx context.Context, first *outgoing, state *callState) (*outgoing, call.Result) {
 	patience := r.patience(state)
+	delay := r.hedgeDelay(first)
+	if delay > 0 && (patience <= 0 || delay < patience) {
+		return r.raceHedge(ctx, first, state, delay, patience)
+	}
 	if patience <= 0 {
-		return r.sender.Send(ctx, target, state.call)
+		return first, r.sender.Send(ctx, first.target, first.call)
+	}
+	r.launch(ctx, first)
+	return first, r.awaitPatiently(first, state, patience)
+}
+
+// awaitPatiently returns the result of an attempt, or gives it up if it takes longer than patience and the call may be sent
+// elsewhere. Zero means that it is not given up.
+func (r *Relay) awaitPatiently(first *outgoing, state *callState, patience time.Duration) call.Result {
+	defer first.cancel()
+	if patience <= 0 || state.sentAttempts+1 >= first.call.Class.Attempts {
+		return <-first.results
 	}
-	start := r.clock.Now()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan call.Result, 1)
-	sent := state.call
-	go func() { results <- r.sender.Send(ctx, target, sent) }()
-	timer := r.clock.NewTimer(patience)
+	timer := r.clock.NewTimer(patience - r.clock.Since(first.start))
 	defer timer.Stop()
 	select {
-	case result := <-results:
+	case result := <-first.results:
 		return result
 	case <-timer.Chan():
 	}
 	resend := Resend{Attempt: Attempt{
-		Call: state.call, Host: target.Host, Result: call.Unknown(call.TimedOut), Duration: r.clock.Since(start),
+		Call: first.call, Host: first.target.Host, Result: call.Unknown(call.TimedOut), Duration: r.clock.Since(first.start),
 	}}
-	resend.Withheld = r.withholdResend(target, state)
+	resend.Withheld = r.withholdResend(first.target, state)
 	r.onResend(resend)
 	if resend.Withheld != "" {
-		return <-results
+		return <-first.results
 	}
-	cancel()
-	result := <-results
+	first.cancel()
+	result := <-first.results
 	if result.Outcome == class.Answered {
 		return result // it arrived meanwhile
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,6 +130,7 @@
 	relay.HoldBack(d.quarantine)
 	relay.ObserveOffers(newOfferObserver(d.observer).offered)
 	relay.ObserveResends(d.observer.callResent)
+	relay.Hedge(s.HedgingShare, newHedgeObserver(d.observer).hedged)
 	relay.ObserveCold(d.observer.counter("warmup.passed_over").inc)
 	relay.UseReach(caller.NewReach(s.FailureDomain, d.observer.reachChanged))
 	relay.AvoidLeavingServers(platform.Headers().Leaving, usableDrainTime(s.Backend.DrainTime))
