--- a/caller/hedge_test.go
+++ b/caller/hedge_test.go
@@ -327,3 +327,25 @@
 		})
 	}
 }
+
+// TestCancelledAttemptsCount guards against quantiles that leave out the attempts that hedges cancelled: a fifth of the
+// attempts is slow, so that is within the time of most answers, and is not hedged once it has been measured.
+func TestCancelledAttemptsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		h := newHedgeCase(1)
+		var sent [4]int
+		for i := range 800 {
+			h.send = answerAfter(10*time.Millisecond, ok)
+			if i%5 == 0 {
+				h.byAttempt(answerAfter(40*time.Millisecond, ok), h.send)
+			}
+			before := h.events[HedgeSent]
+			h.run()
+			sent[i/200] += h.events[HedgeSent] - before
+		}
+		synctest.Wait()
+		g.Expect(sent[0]).To(gomega.BeNumerically(">", 0))
+		g.Expect(sent[3]).To(gomega.BeZero())
+	})
+}
--- a/daemon/observe_hedges.go
+++ b/daemon/observe_hedges.go
@@ -22,7 +22,11 @@
 	if e.Event == caller.HedgeCancelled || !h.allowLine() {
 		return
 	}
-	h.log.Info("call hedged", "event", e.Event.String(), "request", e.Call.ID, "class", e.Call.Class.Name,
+	message := "call hedged"
+	if e.Event > caller.HedgeCancelled {
+		message = "hedge withheld"
+	}
+	h.log.Info(message, "event", e.Event.String(), "request", e.Call.ID, "class", e.Call.Class.Name,
 		"service", e.Call.Service, "host", e.Host, "after_ms", e.Duration.Milliseconds(),
 		"left_ms", e.Call.Deadline.Sub(h.clock.Now()).Milliseconds())
 }
