fix(caller): a failure domain counts as unreachable only if a quarter of its hosts are

At the peak of a customer's load, connections to hosts short of processor time timed out, and 206 times in two seconds a daemon took a domain for unreachable and relayed its calls through a third one, which added load. In domains of at least 12 hosts, a quarter of them now has to fail without an answer in between.

--- a/backend/detached_test.go
+++ b/backend/detached_test.go
@@ -75,7 +75,7 @@
 		}
 		if !isLoadAware {
 			g.Expect(r.State().Running).To(gomega.BeZero())
-			g.Expect(s.outstanding.Load()-outstanding).To(gomega.BeNumerically(">", 2))
+			g.Expect(s.outstanding.Load() - outstanding).To(gomega.BeNumerically(">", 2))
 			continue
 		}
 		g.Expect(s.outstanding.Load()-outstanding).To(gomega.BeEquivalentTo(2), "the concurrency of the server")
--- a/caller/reach.go
+++ b/caller/reach.go
@@ -12,6 +12,9 @@
 	// minUnreachableHosts is the number of hosts of a failure domain that have to be found unreachable, without any sign of
 	// the domain in between, before the domain counts as unreachable. One host may have ended.
 	minUnreachableHosts = 2
+	// minUnreachableShare is the share of the hosts of a large domain that have to be found unreachable. On hosts that are
+	// short of processor time, two connections in a row time out while others of the domain are served.
+	minUnreachableShare = 0.25
 	// evidenceTTL is how long a failed connection or an answer counts. It covers two announcements, which are 900 ms
 	// apart in a small mesh, so that a daemon without calls learns from gossip.
 	evidenceTTL = 3 * time.Second
@@ -29,6 +32,8 @@
 
 	mu      sync.Mutex
 	domains map[ownership.FailureDomain]*domainReach
+	// sizes is the number of hosts of each domain, as far as it is known.
+	sizes map[ownership.FailureDomain]int
 }
 
 // domainReach is what is known of one domain.
@@ -60,6 +65,18 @@
 	return &Reach{own: own, onChange: onChange, domains: map[ownership.FailureDomain]*domainReach{}}
 }
 
+// SetSizes sets the number of hosts of each domain.
+func (r *Reach) SetSizes(sizes map[ownership.FailureDomain]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sizes = sizes
+}
+
+// minFailedHosts returns how many hosts of a domain have to be found unreachable.
+func (r *Reach) minFailedHosts(domain ownership.FailureDomain) int {
+	return max(minUnreachableHosts, int(minUnreachableShare*float64(r.sizes[domain])))
+}
+
 func (r *Reach) domain(name ownership.FailureDomain) *domainReach {
 	d := r.domains[name]
 	if d == nil {
@@ -87,7 +104,7 @@
 			delete(d.failedHosts, h)
 		}
 	}
-	if !d.unreachableSince.IsZero() || len(d.failedHosts) < minUnreachableHosts || !r.isAnotherAlive(now, domain) {
+	if !d.unreachableSince.IsZero() || len(d.failedHosts) < r.minFailedHosts(domain) || !r.isAnotherAlive(now, domain) {
 		return
 	}
 	d.unreachableSince, d.nextProbeAt = now, now.Add(reachProbeInterval)
@@ -203,3 +220,10 @@
 	slices.Sort(due)
 	return due
 }
+
+// SetDomainSizes sets the number of hosts of each failure domain.
+func (r *Relay) SetDomainSizes(sizes map[ownership.FailureDomain]int) {
+	if reach := r.ActiveReach(); reach != nil {
+		reach.SetSizes(sizes)
+	}
+}
--- a/caller/reach_test.go
+++ b/caller/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,7 +15,7 @@
 )
 
 // TestReach plays testdata/reach/*.txt for a daemon of domain z0. "fail DOMAIN HOST", "answer DOMAIN", "heard DOMAIN" and
-// "failvia DOMAIN VIA" report, "wait DURATION" advances the time, "expect DOMAIN reachable|unreachable", "via DOMAIN VIA
+// "failvia DOMAIN VIA" report, "size DOMAIN COUNT" sets its number of hosts, "wait DURATION" advances the time, "expect DOMAIN reachable|unreachable", "via DOMAIN VIA
 // yes|no" and "probes DOMAIN|none" check.
 func TestReach(t *testing.T) {
 	paths, err := filepath.Glob("testdata/reach/*.txt")
@@ -47,6 +48,10 @@
 		}
 		domain := ownership.FailureDomain(f[1])
 		switch f[0] {
+		case "size":
+			size, err := strconv.Atoi(f[2])
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			reach.SetSizes(map[ownership.FailureDomain]int{domain: size})
 		case "fail":
 			reach.Failed(now, domain, ownership.HostID(f[2]))
 		case "answer":
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -15,9 +15,11 @@
 func (c *control) updateRoutes(now ownership.Instant) {
 	serversByService := map[class.Service][]caller.Server{}
 	hopAddresses := map[string]bool{}
+	domainSizes := map[ownership.FailureDomain]int{}
 	var controlAddresses []string
 	peers := map[string]peerHost{}
 	for _, h := range c.roster.Hosts() {
+		domainSizes[h.Domain]++
 		if h.Host != c.self {
 			hopAddresses[h.HopAddress] = true
 			controlAddresses = append(controlAddresses, h.ControlAddress)
@@ -46,6 +48,7 @@
 	c.peerAddresses.Store(&controlAddresses)
 	c.peerHosts.Store(&peers)
 	c.table.Set(routes)
+	c.relay.SetDomainSizes(domainSizes)
 	c.relay.PruneServers(routes)
 	c.daemon.hops.SetAddresses(hopAddresses)
 	c.budget.SetDaemons(1 + len(hopAddresses))
