refactor(caller): separate decisions from their side effects

Explaining a decision must not change it. The bounds of offers, the scores of servers, the tokens of cold servers and the retry budget are now computed without storing anything; calls store the results as before.

--- a/caller/balancer.go
+++ b/caller/balancer.go
@@ -121,7 +121,7 @@
 			continue
 		}
 		active = append(active, s)
-		if !now.Before(b.statsOf(s.Host).ejectedUntil) {
+		if !now.Before(b.peek(s.Host).ejectedUntil) {
 			notEjected = append(notEjected, s)
 		}
 	}
@@ -135,7 +135,7 @@
 // score estimates how long a call to a server would take, in seconds, weighted by penalties. Lower is better.
 func (b *balancer) score(s *Server) float64 {
 	now := b.clock.Now()
-	stats := b.statsOf(s.Host)
+	stats := b.peek(s.Host)
 	concurrency := float64(max(1, s.Concurrency))
 	loadWeight := max(0, 1-now.Sub(stats.loadTime).Seconds()/maxLoadAge.Seconds())
 	queue := max(float64(stats.inFlight), loadWeight*float64(stats.load.Running+stats.load.Waiting))
@@ -180,12 +180,22 @@
 func (b *balancer) statsOf(host ownership.HostID) *serverStats {
 	s := b.stats[host]
 	if s == nil {
-		s = &serverStats{latency: initialLatency}
+		s = newServerStats()
 		b.stats[host] = s
 	}
 	return s
 }
 
+// peek returns the statistics of a server without storing new ones. The caller does not modify them.
+func (b *balancer) peek(host ownership.HostID) *serverStats {
+	if s := b.stats[host]; s != nil {
+		return s
+	}
+	return newServerStats()
+}
+
+func newServerStats() *serverStats { return &serverStats{latency: initialLatency} }
+
 // begin records the start of a call to a server. The returned function records its result.
 func (b *balancer) begin(host ownership.HostID) (endCall func(call.Result)) {
 	b.mu.Lock()
--- a/caller/bounded_offers.go
+++ b/caller/bounded_offers.go
@@ -130,16 +130,29 @@
 	key := offerKey{service: c.Service, class: c.Class.Name}
 	s := b.states[key]
 	if s == nil {
-		s = &offerState{
-			saved:            maxSavedFurtherOffers,
-			runTime:          time.Duration(initialRunShare * float64(c.Class.Latency)),
-			acceptedInterval: initialAcceptedInterval,
-		}
+		s = newOfferState(c)
 		b.states[key] = s
 	}
 	return s
 }
 
+// peek returns the state of the offers of a class to a service without storing a new one. The caller holds the lock and
+// does not modify the state.
+func (b *boundedOffers) peek(c call.Call) *offerState {
+	if s := b.states[offerKey{service: c.Service, class: c.Class.Name}]; s != nil {
+		return s
+	}
+	return newOfferState(c)
+}
+
+func newOfferState(c call.Call) *offerState {
+	return &offerState{
+		saved:            maxSavedFurtherOffers,
+		runTime:          time.Duration(initialRunShare * float64(c.Class.Latency)),
+		acceptedInterval: initialAcceptedInterval,
+	}
+}
+
 // rejectAtEntry returns the time after which there may be capacity if the service has just rejected several calls of the
 // class in a row, and zero if the call is to be offered. Nested calls are always offered, because the run that needs them
 // has already used capacity, and so are calls that returned as they were told.
@@ -148,17 +161,32 @@
 	defer b.mu.Unlock()
 	s := b.stateOf(c)
 	now := b.clock.Now()
-	left := s.restUntil.Sub(now)
-	if left <= 0 || c.IsNested || c.IsReturn {
+	left := s.restLeft(c, now)
+	if left <= 0 {
 		return 0
 	}
+	isProbe := s.isProbeNext()
 	s.skipped++
-	if s.skipped%probeInterval == 0 {
+	if isProbe {
 		return 0
 	}
-	return b.returnTime(s, c, now, s.retryAfter-s.restFor()+left)
+	return b.returnTime(s, c, now, s.capacityAfter(left))
 }
 
+// restLeft returns for how long calls like c are still rejected without an offer, or zero if they are not.
+func (s *offerState) restLeft(c call.Call, now time.Time) time.Duration {
+	if c.IsNested || c.IsReturn {
+		return 0
+	}
+	return max(0, s.restUntil.Sub(now))
+}
+
+// isProbeNext reports whether the next call of the rest is offered as a probe.
+func (s *offerState) isProbeNext() bool { return (s.skipped+1)%probeInterval == 0 }
+
+// capacityAfter returns when there may be capacity if the rest still lasts for the given time.
+func (s *offerState) capacityAfter(left time.Duration) time.Duration { return s.retryAfter - s.restFor() + left }
+
 // restFor returns how long calls of the class are rejected without an offer.
 func (s *offerState) restFor() time.Duration {
 	return min(maxRest, time.Duration(restShare*float64(s.retryAfter)))
@@ -194,7 +222,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	s := b.stateOf(c)
+	s := b.peek(c)
 	left := c.Deadline.Sub(now)
 	reserve := min(offerReserve, time.Duration(maxReserveShare*float64(left)))
 	untilDeadline := left - s.runTime - reserve
--- a/caller/budget.go
+++ b/caller/budget.go
@@ -108,15 +108,33 @@
 // refill adds the tokens for the time since the last refill and returns the service's bucket. It creates the bucket if
 // there is none. The caller holds b.mu.
 func (b *Budget) refill(service class.Service) *serviceBudget {
-	now := b.clock.Now()
 	s := b.services[service]
 	if s == nil {
-		s = &serviceBudget{tokens: b.maxTokens() / 2, refilledAt: now}
+		s = &serviceBudget{}
 		b.services[service] = s
-		return s
 	}
+	*s = b.level(service)
+	return s
+}
+
+// level returns the bucket of a service with the tokens up to now, without storing it. The caller holds b.mu.
+func (b *Budget) level(service class.Service) serviceBudget {
+	now := b.clock.Now()
+	known := b.services[service]
+	if known == nil || known.refilledAt.IsZero() {
+		return serviceBudget{tokens: b.maxTokens() / 2, refilledAt: now}
+	}
+	s := *known
 	// Only half of the slack is refilled per window, because a window can start with the other half unspent.
 	s.tokens = min(b.maxTokens(), s.tokens+b.maxTokens()/2*now.Sub(s.refilledAt).Seconds()/b.limits.Window.Seconds())
 	s.refilledAt = now
 	return s
 }
+
+// Left returns the retries that a service has left, and whether its failed responses are not retried.
+func (b *Budget) Left(service class.Service) (tokens float64, isFailing bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.level(service)
+	return s.tokens, s.failureRate > maxFailureRate
+}
--- a/caller/cold_share.go
+++ b/caller/cold_share.go
@@ -41,17 +41,39 @@
 
 // refill returns the bucket of a server with the tokens up to now.
 func (c *coldServers) refill(now time.Time, s *Server) *coldBucket {
-	b := c.buckets[s.Host]
-	if b == nil || !now.Before(b.until) || s.WarmupUntil.Sub(b.until) > newWarmup {
+	b := c.current(now, s)
+	if b == nil {
 		b = &coldBucket{tokens: c.random.Float64(), refilledAt: now}
 		c.buckets[s.Host] = b
 	}
 	b.until = s.WarmupUntil
-	b.tokens = min(1, b.tokens+s.ColdRate*now.Sub(b.refilledAt).Seconds())
+	b.tokens = b.tokensAt(now, s)
 	b.refilledAt = now
 	return b
 }
 
+// current returns the bucket of a server, or nil if it has none for this warm-up.
+func (c *coldServers) current(now time.Time, s *Server) *coldBucket {
+	b := c.buckets[s.Host]
+	if b == nil || !now.Before(b.until) || s.WarmupUntil.Sub(b.until) > newWarmup {
+		return nil
+	}
+	return b
+}
+
+// tokensAt returns the tokens up to now.
+func (b *coldBucket) tokensAt(now time.Time, s *Server) float64 {
+	return min(1, b.tokens+s.ColdRate*now.Sub(b.refilledAt).Seconds())
+}
+
+// peek returns the tokens of a server without changing its bucket. A new bucket begins with less than one.
+func (c *coldServers) peek(now time.Time, s *Server) float64 {
+	if b := c.current(now, s); b != nil {
+		return b.tokensAt(now, s)
+	}
+	return 0
+}
+
 // take returns a server with a token and takes the token, or returns nil if no server has one.
 func (c *coldServers) take(now time.Time, servers []*Server) *Server {
 	for _, s := range servers {
