feat(cmd): explain where a request would go now

Operators could see what a daemon had decided, but not what it would decide for a request and why. The command explain asks a daemon at its operator address. The daemon answers from the decisions that calls use, which are separated from their side effects, and neither sends nor changes anything. The tests compare explanations with calls in scripted situations, and the state of balancer, offers, cold shares and retry budget before and after.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -230,13 +230,8 @@
 	c.nextID++
 	job := &Job{ID: c.nextID, Class: callClass.Name, Arrived: now, Deadline: deadline, IsReturn: r.IsReturn, Data: admitted}
 	c.policy.UpdateClass(now, callClass)
-	if delay := c.rate.delay(now, 1); delay > 0 && now.Add(delay).After(deadline.Add(-rejectionMargin)) {
-		return nil, &RejectedError{Class: job.Class, Reason: NoCapacity, RetryAfter: delay}
-	}
-	if maxWait > 0 {
-		if wait := c.expectedWait(now, job.Class, job.IsReturn); wait > maxWait {
-			return nil, &RejectedError{Class: job.Class, Reason: WaitExceeded, RetryAfter: wait - maxWait}
-		}
+	if rejected := c.rejectByWait(now, job, maxWait); rejected != nil {
+		return nil, rejected
 	}
 	if delay := c.rejectWhileCold(now, job, callClass.Latency); delay > 0 {
 		return nil, &RejectedError{Class: job.Class, Reason: Cold, RetryAfter: delay}
@@ -252,6 +247,20 @@
 	return job, nil
 }
 
+// rejectByWait returns the error that rejects a job which the rate limit keeps until its deadline, or which is expected to
+// wait for longer than its bound. It returns nil for other jobs.
+func (c *Controller) rejectByWait(now time.Time, job *Job, maxWait time.Duration) *RejectedError {
+	if delay := c.rate.delay(now, 1); delay > 0 && now.Add(delay).After(job.Deadline.Add(-rejectionMargin)) {
+		return &RejectedError{Class: job.Class, Reason: NoCapacity, RetryAfter: delay}
+	}
+	if maxWait > 0 {
+		if wait := c.expectedWait(now, job.Class, job.IsReturn); wait > maxWait {
+			return &RejectedError{Class: job.Class, Reason: WaitExceeded, RetryAfter: wait - maxWait}
+		}
+	}
+	return nil
+}
+
 // estimatedWait returns how long a new call is expected to be queued.
 func (c *Controller) estimatedWait() time.Duration {
 	return max(c.concurrencyDelay(), c.rateDelay())
--- a/admission/load_aware.go
+++ b/admission/load_aware.go
@@ -78,17 +78,12 @@
 func (t *TargetPolicy) offerByTarget(now time.Time, s *classState, job *Job) bool {
 	wait := t.targetWait(now, s, job.IsReturn)
 	s.load.refusals.offered++
-	isInTime := t.meetsTarget(s, wait, job.IsReturn) ||
-		s.isNested && wait <= s.targetOf(job)-time.Duration(runMargin*float64(t.expectedRunTime(s)))
-	if isInTime && s.queue.len() < maxQueueLength {
+	if t.isInTime(s, wait, job) {
 		s.load.admit(now, s.serviceTime)
 		s.queue.push(job)
 		return true
 	}
-	left := job.Deadline.Sub(now) - t.expectedRunTime(s)
-	lateWait := t.lateWait(now, s)
-	maxWait := time.Duration(maxLateWaitShare * float64(s.class.Latency))
-	if left > 0 && lateWait <= min(left, maxWait) {
+	if t.mayRunLate(now, s, job) {
 		s.lateQueue.push(job)
 		return true
 	}
@@ -96,6 +91,21 @@
 	return false
 }
 
+// isInTime reports whether a job that waits for the given time is queued as one that meets its target.
+func (t *TargetPolicy) isInTime(s *classState, wait time.Duration, job *Job) bool {
+	isInTime := t.meetsTarget(s, wait, job.IsReturn) ||
+		s.isNested && wait <= s.targetOf(job)-time.Duration(runMargin*float64(t.expectedRunTime(s)))
+	return isInTime && s.queue.len() < maxQueueLength
+}
+
+// mayRunLate reports whether there is capacity in time for a job that misses its latency target.
+func (t *TargetPolicy) mayRunLate(now time.Time, s *classState, job *Job) bool {
+	left := job.Deadline.Sub(now) - t.expectedRunTime(s)
+	lateWait := t.lateWait(now, s)
+	maxWait := time.Duration(maxLateWaitShare * float64(s.class.Latency))
+	return left > 0 && lateWait <= min(left, maxWait)
+}
+
 // targetOf returns the time within which a job is to end. A nested call serves its run as long as it ends before its
 // deadline, which is the run's own or earlier. If it failed for its latency target, the whole run would be lost.
 func (s *classState) targetOf(job *Job) time.Duration {
--- a/admission/rate_limit.go
+++ b/admission/rate_limit.go
@@ -85,8 +85,7 @@
 
 // windowDelay returns the time until the window has room for another start.
 func (r *rateLimiter) windowDelay(now time.Time) time.Duration {
-	r.prune(now)
-	counted := r.starts
+	counted := r.counted(now)
 	for len(counted) > 0 && r.changedAt.Sub(counted[0]) > countedBefore {
 		counted = counted[1:]
 	}
@@ -98,7 +97,10 @@
 }
 
 // prune forgets the starts that no longer count.
-func (r *rateLimiter) prune(now time.Time) {
+func (r *rateLimiter) prune(now time.Time) { r.starts = r.counted(now) }
+
+// counted returns the starts that still count.
+func (r *rateLimiter) counted(now time.Time) []time.Time {
 	window := rateWindow
 	if r.bucket == nil {
 		window = countedBefore
@@ -107,7 +109,7 @@
 	for expired < len(r.starts) && now.Sub(r.starts[expired]) >= window {
 		expired++
 	}
-	r.starts = r.starts[expired:]
+	return r.starts[expired:]
 }
 
 // start counts a job that starts.
--- a/admission/warmup.go
+++ b/admission/warmup.go
@@ -178,16 +178,11 @@
 // rejectWhileCold returns how long the caller of a job is asked to wait if the backend server is cold and the job cannot
 // start within its latency target, or zero. A job that can is dropped once its target has passed.
 func (c *Controller) rejectWhileCold(now time.Time, job *Job, latency time.Duration) time.Duration {
-	wait := c.warmup.delay(now, c.policy.Waiting()+1)
+	wait, isRejected := c.coldWait(now, job, latency)
 	if wait == 0 {
 		return 0
 	}
-	runTime := min(c.policy.ServiceTime(job.Class), latency/2)
-	startBy := now.Add(latency - runTime)
-	if limit := job.Deadline.Add(-rejectionMargin - runTime); limit.Before(startBy) {
-		startBy = limit
-	}
-	if now.Add(wait).After(startBy) {
+	if isRejected {
 		return c.warmup.retryAfter(now, wait)
 	}
 	if end := now.Add(latency); end.Before(job.Deadline) {
@@ -196,5 +191,19 @@
 	return 0
 }
 
+// coldWait returns how long a job waits because the backend server is cold, and whether that is too long.
+func (c *Controller) coldWait(now time.Time, job *Job, latency time.Duration) (wait time.Duration, isRejected bool) {
+	wait = c.warmup.delay(now, c.policy.Waiting()+1)
+	if wait == 0 {
+		return 0, false
+	}
+	runTime := min(c.policy.ServiceTime(job.Class), latency/2)
+	startBy := now.Add(latency - runTime)
+	if limit := job.Deadline.Add(-rejectionMargin - runTime); limit.Before(startBy) {
+		startBy = limit
+	}
+	return wait, now.Add(wait).After(startBy)
+}
+
 // MeanServiceTime returns the mean service time of the classes, weighted by their demand.
 func (t *TargetPolicy) MeanServiceTime() time.Duration { return t.meanServiceTime() }
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -511,3 +511,11 @@
 
 // State returns the state of admission control.
 func (r *Runner) State() admission.State { return r.controller.State() }
+
+// Assess states how a call would be treated by admission control if it arrived now, and whether the server may get it at
+// all. It changes nothing. Reasons to hold the single request back are not judged.
+func (r *Runner) Assess(c call.Call) (assessment admission.Assessment, isAllowed bool) {
+	permit := r.current.Load()
+	isAllowed = permit.client != nil && permit.isUsableFor(c) && permit.allows(r.clock.Now(), c)
+	return r.controller.Assess(admission.Request{Class: c.Class, Deadline: c.Deadline, MaxWait: c.MaxWait}), isAllowed
+}
--- a/caller/bounded_offers.go
+++ b/caller/bounded_offers.go
@@ -185,7 +185,9 @@
 func (s *offerState) isProbeNext() bool { return (s.skipped+1)%probeInterval == 0 }
 
 // capacityAfter returns when there may be capacity if the rest still lasts for the given time.
-func (s *offerState) capacityAfter(left time.Duration) time.Duration { return s.retryAfter - s.restFor() + left }
+func (s *offerState) capacityAfter(left time.Duration) time.Duration {
+	return s.retryAfter - s.restFor() + left
+}
 
 // restFor returns how long calls of the class are rejected without an offer.
 func (s *offerState) restFor() time.Duration {
--- a/caller/budget.go
+++ b/caller/budget.go
@@ -108,12 +108,13 @@
 // refill adds the tokens for the time since the last refill and returns the service's bucket. It creates the bucket if
 // there is none. The caller holds b.mu.
 func (b *Budget) refill(service class.Service) *serviceBudget {
+	level := b.level(service)
 	s := b.services[service]
 	if s == nil {
 		s = &serviceBudget{}
 		b.services[service] = s
 	}
-	*s = b.level(service)
+	*s = level
 	return s
 }
 
@@ -121,7 +122,7 @@
 func (b *Budget) level(service class.Service) serviceBudget {
 	now := b.clock.Now()
 	known := b.services[service]
-	if known == nil || known.refilledAt.IsZero() {
+	if known == nil {
 		return serviceBudget{tokens: b.maxTokens() / 2, refilledAt: now}
 	}
 	s := *known
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -49,7 +49,9 @@
 	Servers []Server
 	// Record maps the keys of a keyed service to their owners. It is nil while unknown.
 	Record *ownership.Record
-	byHost map[ownership.HostID]*Server
+	// RecordSeenAt is when this daemon first routed by the record, or zero if that is not known.
+	RecordSeenAt time.Time
+	byHost       map[ownership.HostID]*Server
 	// isEvacuated reports whether the failure domains of all servers are evacuated.
 	isEvacuated bool
 }
--- a/class/router.go
+++ b/class/router.go
@@ -27,14 +27,7 @@
 // Match returns the class of the host with the longest prefix that matches the path, or nil. The host may include a
 // port.
 func (r *Router) Match(host, path string) *Class {
-	prefixes := r.classesByHost[host]
-	if prefixes == nil {
-		name, _, err := net.SplitHostPort(host)
-		if err != nil {
-			return nil
-		}
-		prefixes = r.classesByHost[name]
-	}
+	prefixes := r.prefixes(host)
 	// Prefixes end with a slash, so only the parts of the path up to each slash are looked up.
 	for end := len(path); end > 0; {
 		slash := strings.LastIndexByte(path[:end], '/')
@@ -48,3 +41,18 @@
 	}
 	return nil
 }
+
+// HasHost reports whether any class is for the host, which may include a port.
+func (r *Router) HasHost(host string) bool { return r.prefixes(host) != nil }
+
+// prefixes returns the classes of a host by prefix, or nil.
+func (r *Router) prefixes(host string) map[string]*Class {
+	if prefixes := r.classesByHost[host]; prefixes != nil {
+		return prefixes
+	}
+	name, _, err := net.SplitHostPort(host)
+	if err != nil {
+		return nil
+	}
+	return r.classesByHost[name]
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -9,6 +9,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/operator"
 	"github.com/skylarkrelay/skylarkrelay/settings"
 )
@@ -54,6 +55,7 @@
 		addRun,
 		addCheck,
 		addStatus,
+		addExplain,
 		addTimeline,
 		addVersion,
 	}
@@ -94,7 +96,15 @@
 	var usage *flags.Error
 	var problems *settings.ProblemsError
 	var unreachable *operator.UnreachableError
+	var unexplained *ExplainError
+	var verdict *VerdictError
 	switch {
+	case errors.As(err, &unexplained):
+		return ExitFailed
+	case errors.As(err, &verdict) && verdict.Verdict == caller.Rejected:
+		return ExitRejected
+	case errors.As(err, &verdict):
+		return ExitNoRoute
 	case errors.As(err, &usage):
 		return ExitUsage
 	case errors.As(err, &problems):
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -86,6 +86,7 @@
 	expectedHandovers map[ownership.HostID]ownership.Instant
 	gossip            gossipState
 	records           map[class.Service]*ownership.Record
+	seenRecords       map[class.Service]seenRecord
 	config            *class.Config
 	// configRevision is the revision of the configuration that was last read from the store.
 	configRevision store.Revision
@@ -138,6 +139,7 @@
 		machine: ownership.NewStateMachine(o.BootClock.Now(), d.settings.Host, d.settings.Service, layout,
 			d.ownershipTiming(), random),
 		records:           map[class.Service]*ownership.Record{},
+		seenRecords:       map[class.Service]seenRecord{},
 		expectedHandovers: map[ownership.HostID]ownership.Instant{},
 		reportedRequests:  map[call.Fingerprint]bool{},
 		loadMeter:         newLoadMeter(o.Clock.Now()),
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -42,6 +42,7 @@
 	for service, servers := range serversByService {
 		isKeyed := c.config != nil && c.config.Services[service].IsKeyed
 		routes[service] = caller.NewServiceRoute(isKeyed, servers, c.records[service])
+		routes[service].RecordSeenAt = c.recordSeenAt(service)
 	}
 	c.peerAddresses.Store(&controlAddresses)
 	c.peerHosts.Store(&peers)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkrelay/skylarkrelay/admission"
+	"github.com/skylarkrelay/skylarkrelay/caller"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/dependency"
 	"github.com/skylarkrelay/skylarkrelay/timeline"
@@ -61,6 +62,8 @@
 	Status(ctx context.Context) (Status, error)
 	Timeline(after timeline.Timestamp) []timeline.Event
 	Metrics() metrics.Registry
+	// Explain states where a request would go now. It changes nothing.
+	Explain(r caller.Request) (caller.Explanation, error)
 }
 
 // Paths of the HTTP interface. The profiles are those of net/http/pprof.
@@ -69,6 +72,7 @@
 	statusPath   = "/status"
 	timelinePath = "/timeline"
 	metricsPath  = "/metrics"
+	explainPath  = "/explain"
 )
 
 // Handler returns the handler of the HTTP interface. It passes errors in writing a response to report.
@@ -95,6 +99,7 @@
 			report(err)
 		}
 	})
+	mux.HandleFunc("GET "+explainPath, explainHandler(d, report))
 	return mux
 }
 
