test(daemon): explain judges the server beside the daemon

The explanation took no account of a daemon that rejects all further calls for its server. The verdict now does, and a test asks a running daemon at its operator interface.

--- a/backend/runner.go
+++ b/backend/runner.go
@@ -516,6 +516,6 @@
 // all. It changes nothing. Reasons to hold the single request back are not judged.
 func (r *Runner) Assess(c call.Call) (assessment admission.Assessment, isAllowed bool) {
 	permit := r.current.Load()
-	isAllowed = permit.client != nil && permit.isUsableFor(c) && permit.allows(r.clock.Now(), c)
+	isAllowed = !r.isRejected(c) && permit.client != nil && permit.isUsableFor(c) && permit.allows(r.clock.Now(), c)
 	return r.controller.Assess(admission.Request{Class: c.Class, Deadline: c.Deadline, MaxWait: c.MaxWait}), isAllowed
 }
