--- a/caller/hedge.go
+++ b/caller/hedge.go
@@ -219,7 +219,7 @@
 			excluded[s.Host] = true
 		}
 	}
-	return r.balancer.pick(route, excluded)
+	return r.balancer.pick(route, excluded, &state.call)
 }
 
 // raceHedge waits for the first attempt of a call, and sends the call to a second server if it is not answered within the
