feat(caller): explain the choice of servers by capacity

The explanation ranks servers by the expected time where calls do, and states how many of them a call compares. Calls store the statistics of the servers that they compare, as before; the preview stores none.

--- a/caller/balancer.go
+++ b/caller/balancer.go
@@ -86,6 +86,9 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	cold, candidates := splitCold(now, route, b.candidates(route, tried))
+	for _, s := range candidates {
+		b.statsOf(s.Host) // a call stores the statistics of the servers that it compares, a preview does not
+	}
 	if s := b.cold.take(now, cold); s != nil {
 		return s
 	}
--- a/caller/capacity_score.go
+++ b/caller/capacity_score.go
@@ -285,7 +285,7 @@
 
 // expectedTime returns the expected time to the end of a call on a server in seconds, with the penalties.
 func (b *balancer) expectedTime(now time.Time, outlook *serviceOutlook, s *Server, c *call.Call) float64 {
-	stats := b.statsOf(s.Host)
+	stats := b.peek(s.Host)
 	known, utilisation := outlook.lookUp(now, s.Host)
 	slots := float64(max(1, s.Concurrency))
 	weight := math.Exp(-now.Sub(stats.loadTime).Seconds() / reportedDecay.Seconds())
--- a/caller/explain.go
+++ b/caller/explain.go
@@ -5,144 +5,12 @@
 	"fmt"
 	"net/url"
 	"slices"
-	"strconv"
-	"time"
 
-	"github.com/skylarkrelay/skylarkrelay/admission"
 	"github.com/skylarkrelay/skylarkrelay/call"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 )
 
-// Request describes the request of a caller whose route is explained.
-type Request struct {
-	Method string
-	Host   string
-	Path   string
-	Key    class.Key
-	HasKey bool
-}
-
-// Explanation states where a request would go now and why.
-type Explanation struct {
-	ConfigVersion class.Version `json:"config_version"`
-	// Class is empty if no class matches.
-	Class        class.Name             `json:"class,omitempty"`
-	Rank         class.Rank             `json:"rank"`
-	IsIdempotent bool                   `json:"idempotent"`
-	LatencyMS    int64                  `json:"latency_target_ms"`
-	TimeoutMS    int64                  `json:"timeout_ms"`
-	Deadline     time.Time              `json:"deadline"`
-	Verdict      Verdict                `json:"verdict"`
-	Reason       string                 `json:"reason,omitempty"`
-	Destinations []ExplainedDestination `json:"destinations"`
-}
-
-// ExplainedDestination is the explanation for one of the services to which a call may go.
-type ExplainedDestination struct {
-	Service class.Service `json:"service"`
-	Weight  int           `json:"weight"`
-	// Share is the probability with which a call goes to the service.
-	Share   float64 `json:"share"`
-	IsKeyed bool    `json:"keyed"`
-	Verdict Verdict `json:"verdict"`
-	Reason  string  `json:"reason,omitempty"`
-	// RetryAfterMS is the least time after which a rejected call may find capacity.
-	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
-	// Host is the host of the preferred server. IsCutOff reports whether it is reached by way of another domain.
-	Host       ownership.HostID     `json:"host,omitempty"`
-	IsCutOff   bool                 `json:"cut_off,omitempty"`
-	Key        *ExplainedKey        `json:"key,omitempty"`
-	Candidates []ExplainedCandidate `json:"candidates,omitempty"`
-	// Compared is the number of candidates of which a call compares a random subset, if they are more.
-	Compared int             `json:"compared,omitempty"`
-	Entry    *ExplainedEntry `json:"entry,omitempty"`
-	// Admission is set by the daemon for the preferred server.
-	Admission  *admission.Assessment `json:"admission,omitempty"`
-	BudgetLeft float64               `json:"retry_budget_left"`
-	IsFailing  bool                  `json:"failing,omitempty"`
-
-	call call.Call
-}
-
-// ExplainedKey is the assignment of a key. Generation is the revision of the record.
-type ExplainedKey struct {
-	Key        class.Key        `json:"key"`
-	Owner      ownership.HostID `json:"owner,omitempty"`
-	Fence      ownership.Fence  `json:"fence"`
-	Generation ownership.Fence  `json:"generation"`
-	// RecordAgeMS is how long the daemon has routed by the record, if that is known.
-	RecordAgeMS *int64 `json:"record_age_ms,omitempty"`
-}
-
-// ExplainedCandidate is one server of a service, with what counts for and against it.
-type ExplainedCandidate struct {
-	Host          ownership.HostID        `json:"host"`
-	FailureDomain ownership.FailureDomain `json:"failure_domain"`
-	IsEligible    bool                    `json:"eligible"`
-	// Score is lower for preferred servers.
-	Score       float64   `json:"score"`
-	InFlight    int       `json:"in_flight"`
-	FailureRate float64   `json:"failure_rate"`
-	Load        *LoadSeen `json:"load,omitempty"`
-	// ColdTokens is the number of calls that this daemon may send to a cold server now.
-	ColdTokens *float64 `json:"cold_tokens,omitempty"`
-	Reasons    []string `json:"reasons,omitempty"`
-}
-
-// LoadSeen is the last known load of a server and its age.
-type LoadSeen struct {
-	Running int   `json:"running"`
-	Waiting int   `json:"waiting"`
-	WaitMS  int64 `json:"wait_ms"`
-	AgeMS   int64 `json:"age_ms"`
-}
-
-// ExplainedEntry states whether the entry daemon rejects the call itself, and the bound of the first offer.
-type ExplainedEntry struct {
-	IsRejected    bool  `json:"rejected"`
-	RestMS        int64 `json:"rest_ms"`
-	IsProbe       bool  `json:"probe,omitempty"`
-	MaxWaitMS     int64 `json:"max_wait_ms"`
-	IsLast        bool  `json:"last_offer"`
-	retryAfterFor time.Duration
-}
-
-// UnknownHostError reports a host that no class of the configuration names.
-type UnknownHostError struct{ Host string }
-
-func (e *UnknownHostError) Error() string {
-	return "host " + strconv.Quote(e.Host) + ": no class of the configuration is for this host"
-}
-
-// KeyError reports a malformed key.
-type KeyError struct{ Text string }
-
-func (e *KeyError) Error() string {
-	return "key " + strconv.Quote(e.Text) + ": must be a number from 0 to 65535"
-}
-
-// PathError reports a path that is not one of a request.
-type PathError struct{ Text string }
-
-func (e *PathError) Error() string {
-	return "path " + strconv.Quote(e.Text) + ": must begin with a slash"
-}
-
-// NotConfiguredError reports that the daemon has no configuration yet.
-type NotConfiguredError struct{}
-
-func (e *NotConfiguredError) Error() string { return "the daemon has no configuration yet" }
-
-// ParseKey parses a key as in the header of a request.
-func ParseKey(text string) (class.Key, error) {
-	key, err := strconv.ParseUint(text, 10, 16)
-	if err != nil {
-		return 0, &KeyError{Text: text}
-	}
-	return class.Key(key), nil
-}
-
 // Explain states where a request would go now. It changes nothing and sends nothing.
 func (h *Handler) Explain(r Request) (Explanation, error) {
 	config := h.config.Load()
@@ -182,16 +50,6 @@
 	return e, nil
 }
 
-// conclude sets the verdict to the worst of the services to which the call may go.
-func (e *Explanation) conclude() {
-	e.Verdict, e.Reason = Served, ""
-	for _, d := range e.Destinations {
-		if d.Share > 0 && d.Verdict > e.Verdict {
-			e.Verdict, e.Reason = d.Verdict, d.Reason
-		}
-	}
-}
-
 // destinationShare returns the probability with which chooseDestination chooses a destination.
 func destinationShare(destinations []class.Destination, index int) float64 {
 	total := 0
@@ -256,7 +114,7 @@
 		}
 	}
 	if s := route.byHost[d.Key.Owner]; s != nil {
-		d.Candidates = []ExplainedCandidate{r.explainServer(s, true)}
+		d.Candidates = []ExplainedCandidate{r.explainServer(s, &c)}
 	}
 	owner := route.owner(c.Key)
 	if owner == nil || !r.leaving.accepts(owner) {
@@ -273,11 +131,11 @@
 
 // explainCandidates explains the servers of a service for a call without a key, and returns the preferred one or nil.
 func (r *Relay) explainCandidates(route *ServiceRoute, state *callState, d *ExplainedDestination) *Server {
-	ranked := r.balancer.preview(route, state.triedHosts)
+	ranked := r.balancer.preview(route, state.triedHosts, &state.call)
 	listed := map[ownership.HostID]bool{}
 	var target *Server
 	for _, s := range ranked {
-		candidate := r.explainServer(s, false)
+		candidate := r.explainServer(s, &state.call)
 		if !r.leaving.accepts(s) {
 			candidate.IsEligible = false
 		} else if target == nil && candidate.IsEligible {
@@ -286,12 +144,12 @@
 		listed[s.Host] = true
 		d.Candidates = append(d.Candidates, candidate)
 	}
-	if len(ranked) > maxCandidates {
-		d.Compared = maxCandidates
+	if size := r.balancer.sampleSize(&state.call); len(ranked) > size {
+		d.Compared = size
 	}
 	for i := range route.Servers {
 		if s := &route.Servers[i]; !listed[s.Host] {
-			candidate := r.explainServer(s, false)
+			candidate := r.explainServer(s, &state.call)
 			candidate.IsEligible = false
 			d.Candidates = append(d.Candidates, candidate)
 		}
@@ -305,7 +163,7 @@
 }
 
 // preview returns the servers that pick chooses among, in the order of preference: cold servers with a token first.
-func (b *balancer) preview(route *ServiceRoute, tried map[ownership.HostID]bool) []*Server {
+func (b *balancer) preview(route *ServiceRoute, tried map[ownership.HostID]bool, c *call.Call) []*Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -316,20 +174,39 @@
 			ranked = append(ranked, s)
 		}
 	}
-	slices.SortStableFunc(candidates, func(x, y *Server) int { return cmp.Compare(b.score(x), b.score(y)) })
+	slices.SortStableFunc(candidates, func(x, y *Server) int { return cmp.Compare(b.scoreFor(x, c), b.scoreFor(y, c)) })
 	return append(ranked, candidates...)
 }
 
+// scoreFor returns the figure by which pick compares the servers for a call: the expected time if they are chosen by
+// capacity, and otherwise the score.
+func (b *balancer) scoreFor(s *Server, c *call.Call) float64 {
+	if outlook := b.outlookOf(c); outlook != nil {
+		return b.expectedTime(b.clock.Now(), outlook, s, c)
+	}
+	return b.score(s)
+}
+
+// sampleSize returns the number of candidates that pick compares for a call.
+func (b *balancer) sampleSize(c *call.Call) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.outlookOf(c) != nil {
+		return sampledServers
+	}
+	return maxCandidates
+}
+
 // explainServer lists what counts for and against a server.
-func (r *Relay) explainServer(s *Server, isForKey bool) ExplainedCandidate {
+func (r *Relay) explainServer(s *Server, c *call.Call) ExplainedCandidate {
 	b := r.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	stats := b.peek(s.Host)
 	e := ExplainedCandidate{
-		Host: s.Host, FailureDomain: s.Domain, IsEligible: s.takesUnkeyed() || isForKey && s.IsUsable,
-		Score: b.score(s), InFlight: stats.inFlight, FailureRate: stats.failureRate,
+		Host: s.Host, FailureDomain: s.Domain, IsEligible: s.takesUnkeyed() || c.HasKey && s.IsUsable,
+		Score: b.scoreFor(s, c), InFlight: stats.inFlight, FailureRate: stats.failureRate,
 	}
 	if !stats.loadTime.IsZero() {
 		e.Load = &LoadSeen{
@@ -376,22 +253,3 @@
 	}
 	return e
 }
-
-// AssessLocal completes the explanation with the admission verdicts of the server beside this daemon, for the services
-// whose preferred server it is. assess must change nothing.
-func (e *Explanation) AssessLocal(self ownership.HostID, assess func(c call.Call) (verdict *admission.Assessment, rejection call.Reason, retryAfterMS int64)) {
-	for i := range e.Destinations {
-		d := &e.Destinations[i]
-		if d.Host != self || d.Verdict != Served {
-			continue
-		}
-		verdict, rejection, retryAfterMS := assess(d.call)
-		d.Admission = verdict
-		if rejection != call.None {
-			d.Verdict, d.Reason, d.RetryAfterMS = Rejected, rejection.String(), retryAfterMS
-		}
-	}
-	if e.Class != "" {
-		e.conclude()
-	}
-}
--- a/caller/explain_test.go
+++ b/caller/explain_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/skylarkrelay/skylarkrelay/call"
+	"github.com/skylarkrelay/skylarkrelay/capacity"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
@@ -105,6 +106,18 @@
 		servers[0].ColdRate, servers[0].WarmupUntil = 0.1, s.clock.Now().Add(time.Second)
 		s.slow("b")
 	}, host: "c"},
+	"greatest capacity": {change: func(s *explainScene, _ []Server) {
+		s.slow("c") // the latency does not count any more
+		var reports []ServerReport
+		for i, host := range []ownership.HostID{"a", "b", "c"} {
+			runTime := time.Duration(90-30*i) * time.Millisecond
+			reports = append(reports, ServerReport{
+				Host: host, Service: "s", Domain: "d", Slots: 4, Capacity: 1,
+				RunTimes: capacity.RunTimes{"read": runTime},
+			})
+		}
+		s.relay.SetServerReports(reports)
+	}, host: "c"},
 	"full service": {change: func(s *explainScene, _ []Server) { s.reject() }, verdict: Rejected},
 	"probe of a full service": {change: func(s *explainScene, _ []Server) {
 		s.slow("a", "c")
