--- a/backend/notice.go
+++ b/backend/notice.go
@@ -58,3 +58,37 @@
 	// Invalid is called for a statement that cannot be parsed.
 	Invalid func(error)
 }
+
+// observeNotice applies what the server stated about itself in the response to a call.
+func (r *Runner) observeNotice(permit *activePermit, c call.Call, sentAt time.Time, result call.Result) {
+	if result.Notice == nil && result.Outcome != class.Unknown || result.Reason == call.Refused {
+		return // the server got no call, or the response may be from another instance at its address
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.current.Load().client != permit.client {
+		return // the response is from an earlier instance
+	}
+	before := r.stated.rate.limit
+	r.stated.rate.observe(r.clock.Now(), sentAt, result)
+	after := r.stated.rate.limit
+	// It is set also if it is unchanged, because the controller may still await it.
+	r.controller.SetRateLimit(after)
+	if after != before {
+		r.noticeObserver.RateLimitChanged(
+			RateLimitChange{Instance: permit.Instance, Before: before, After: after, Request: c.ID})
+	}
+	if result.Notice == nil {
+		return
+	}
+	for _, err := range []error{result.Notice.Err, result.Notice.LoadErr} {
+		if err != nil {
+			r.noticeObserver.Invalid(err)
+		}
+	}
+	r.observeSlowdown(result.Notice.Load)
+	if result.Notice.IsLeaving && !r.stated.isLeaving {
+		r.stated.isLeaving = true
+		r.noticeObserver.Leaving(permit.Instance, c.ID)
+	}
+}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -15,62 +15,10 @@
 	"github.com/skylarkrelay/skylarkrelay/capacity"
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/dependency"
-	"github.com/skylarkrelay/skylarkrelay/keyspace"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
 	"github.com/skylarkrelay/skylarkrelay/quarantine"
 )
 
-// Permit states which calls a daemon may currently send to its backend server. The control goroutine replaces it as a
-// whole, and the goroutines that serve calls only read it.
-type Permit struct {
-	// IsUsable reports whether the server accepts new calls.
-	IsUsable bool
-	// IsKeysOnly reports whether the server accepts only calls for keys that it holds, because its failure domain is
-	// evacuated.
-	IsKeysOnly bool
-	// Instance is the ID of the server instance (one run of its process) that the calls are meant for, and ServerInstance
-	// that instance.
-	Instance       string
-	ServerInstance ownership.Instance
-	// IsLeaving reports whether the server has announced its end.
-	IsLeaving bool
-	// IsKeyed reports whether calls with a key are limited to Keys, until KeysValidUntil.
-	IsKeyed bool
-	// Keys maps the keys that the server holds to true.
-	Keys keyspace.Map[bool]
-	// KeysValidUntil is the time until which the server holds the keys.
-	KeysValidUntil time.Time
-	// Concurrency is the number of calls that the server runs at a time.
-	Concurrency int
-	// Warmup is the limit while the server is cold. ColdUntil is when that ends, as the server stated in the heartbeat in
-	// which it was found; Runner.StateWarmup applies later statements.
-	Warmup    admission.WarmupLimit
-	ColdUntil time.Time
-}
-
-// isUsableFor reports whether the server accepts a call if it holds the call's key.
-func (p *Permit) isUsableFor(c call.Call) bool {
-	return p.IsUsable && (!p.IsKeysOnly || p.IsKeyed && c.HasKey)
-}
-
-// allows reports whether a call may start at the given time.
-func (p *Permit) allows(now time.Time, c call.Call) bool {
-	if !p.isUsableFor(c) {
-		return false
-	}
-	if !p.IsKeyed || !c.HasKey {
-		return true
-	}
-	return p.Keys.At(c.Key) && now.Before(p.KeysValidUntil)
-}
-
-// activePermit is the permit in force, with the server's client and a channel that is closed when it is replaced.
-type activePermit struct {
-	Permit
-	client   *Client
-	replaced chan struct{}
-}
-
 // Runner runs calls on the backend server of this host, within the permit and the concurrency limit. It is safe for
 // concurrent use.
 type Runner struct {
@@ -212,40 +160,6 @@
 // Running returns the number of calls that are running on the server.
 func (r *Runner) Running() int { return int(r.running.Load()) }
 
-// rejectedWeight is the weight of the expected run time of a rejected call in the demand. Its caller retries it after the
-// Retry-After, and it is then counted again.
-const rejectedWeight = 0.5
-
-// minCapacityShare bounds the demand of a server whose rate limit leaves it next to nothing. Without the bound, its load
-// would raise the mean of all servers so far that no other server counts as loaded.
-const minCapacityShare = 0.1
-
-// TakeDemand returns the run time that calls asked for since the last invocation, by key and in total: the run time of
-// those that ran, and a part of the expected run time of those that were rejected. What ran alone would show the
-// capacity of a server that is asked for more, and not that it is. If the server limits the rate of its calls, the
-// demand is in proportion to the capacity that the limit leaves.
-func (r *Runner) TakeDemand() (map[class.Key]time.Duration, time.Duration) {
-	share := max(minCapacityShare, r.controller.CapacityShare())
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	byKey, total := r.demand, time.Duration(float64(r.totalDemand)/share)
-	for key := range byKey {
-		byKey[key] = time.Duration(float64(byKey[key]) / share)
-	}
-	r.demand, r.totalDemand = map[class.Key]time.Duration{}, 0
-	return byKey, total
-}
-
-// addDemand adds the run time that a call asked for.
-func (r *Runner) addDemand(c call.Call, runTime time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.totalDemand += runTime
-	if c.HasKey {
-		r.demand[c.Key] += runTime
-	}
-}
-
 // Load returns the load of the server and of the admission queue before it.
 func (r *Runner) Load() call.Load {
 	state := r.controller.State()
@@ -411,19 +325,6 @@
 	}
 }
 
-// recordRejection adds a call that admission control rejected to the demand.
-func (r *Runner) recordRejection(c call.Call, err error) {
-	var rejected *admission.RejectedError
-	isDemand := errors.As(err, &rejected) && rejected.Reason != admission.Canceled &&
-		rejected.Reason != admission.WaitExceeded // another server runs the call
-	if rejected != nil && rejected.Reason == admission.Cold {
-		r.warmupObserver.Rejected(c, rejected.RetryAfter)
-	}
-	if isDemand {
-		r.addDemand(c, time.Duration(rejectedWeight*float64(r.controller.ServiceTime(c.Class.Name))))
-	}
-}
-
 // dispatch sends an admitted call to the server, unless the permit no longer allows it, and ends the ticket.
 func (r *Runner) dispatch(ctx context.Context, c call.Call, ticket *admission.Ticket) call.Result {
 	start := r.clock.Now()
@@ -475,40 +376,6 @@
 	return result
 }
 
-// observeNotice applies what the server stated about itself in the response to a call.
-func (r *Runner) observeNotice(permit *activePermit, c call.Call, sentAt time.Time, result call.Result) {
-	if result.Notice == nil && result.Outcome != class.Unknown || result.Reason == call.Refused {
-		return // the server got no call, or the response may be from another instance at its address
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.current.Load().client != permit.client {
-		return // the response is from an earlier instance
-	}
-	before := r.stated.rate.limit
-	r.stated.rate.observe(r.clock.Now(), sentAt, result)
-	after := r.stated.rate.limit
-	// It is set also if it is unchanged, because the controller may still await it.
-	r.controller.SetRateLimit(after)
-	if after != before {
-		r.noticeObserver.RateLimitChanged(
-			RateLimitChange{Instance: permit.Instance, Before: before, After: after, Request: c.ID})
-	}
-	if result.Notice == nil {
-		return
-	}
-	for _, err := range []error{result.Notice.Err, result.Notice.LoadErr} {
-		if err != nil {
-			r.noticeObserver.Invalid(err)
-		}
-	}
-	r.observeSlowdown(result.Notice.Load)
-	if result.Notice.IsLeaving && !r.stated.isLeaving {
-		r.stated.isLeaving = true
-		r.noticeObserver.Leaving(permit.Instance, c.ID)
-	}
-}
-
 // State returns the state of admission control.
 func (r *Runner) State() admission.State { return r.controller.State() }
 
--- a/capacity/runtimes.go
+++ b/capacity/runtimes.go
@@ -25,7 +25,7 @@
 )
 
 // Encode returns the run times as text for announcements: classes with their run time in tenths of a millisecond, for
-// example "calibrate=1503,live-reading=1198".
+// example "order=1503,lookup=1198".
 func (r RunTimes) Encode() string {
 	var text strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(r)) {
