perf(caller): an offer is planned without counting all servers

The plan of an offer only distinguishes one candidate from several, but each offer counted all servers of the service, up to 46 of them, before the balancer walked them again. The count ends at two. Decisions are unchanged; the tests of package caller pass.

--- a/caller/capacity_score.go
+++ b/caller/capacity_score.go
@@ -26,8 +26,7 @@
 	// with single announcements in full, they all move to the same servers, and offers are rejected more often than without.
 	announcedSmoothing = 4 * time.Second
 	announcedGain      = 0.3
-	// fullCost is the cost of a full server, in mean run times of the class. It makes up for the rejections, and was chosen by
-	// the share of calls in target in TestChoiceByCapacity.
+	// fullCost is the cost of a full server, in mean run times of the class. It makes up for the rejections.
 	fullCost = 4.0
 	// announcedDecay is the time constant with which an announced utilisation approaches the mean of the service.
 	announcedDecay = 2 * time.Second
--- a/caller/relay_offers.go
+++ b/caller/relay_offers.go
@@ -58,13 +58,13 @@
 	candidates := 0
 	for i := range route.Servers {
 		s := &route.Servers[i]
+		if state.hasOnlyDeferred || candidates > 1 {
+			break // the plan only distinguishes one candidate from several
+		}
 		if s.takesUnkeyed() && !state.triedHosts[s.Host] {
 			candidates++
 		}
 	}
-	if state.hasOnlyDeferred {
-		candidates = 0
-	}
 	state.bound = r.bounded.plan(state.call, state.arrived, state.rejections, candidates)
 	state.call.MaxWait = state.bound.maxWait
 	if state.bound.isLast {
