--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -15,14 +15,14 @@
 	// allowedRetries is the number of retries that the rule allows.
 	allowedRetries = 3
 	// clientsOfPoison is the number of machines at which the request comes.
-	clientsOfPoison = 6
+	clientsOfPoison = 9
 )
 
 // poison sends a request that crashes each backend that begins to run it. It comes again every ten seconds, at all
 // machines. No other disruption is played. The rule is broken if the request reaches backends in more than allowedRetries
 // retries later than stableWindow after the third crash.
 func poison(w *world, isTroubled bool) (bool, error) {
-	for i := range 6 {
+	for i := range 9 {
 		w.addHost([]string{"z1", "z2", "z3"}[i%3], "workshop", false)
 	}
 	w.putConfig(3, []route{
