--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -31,6 +31,8 @@
 
 	mu  sync.Mutex
 	seq uint64
+	// isSilent ends the heartbeats.
+	isSilent bool
 	// fences holds the fence of each key that the backend holds until the end of until, or zero. seen holds the highest
 	// fence seen for each key, and working the number of requests that run for it.
 	fences, seen []uint64
@@ -207,18 +209,15 @@
 	return found
 }
 
-// sendBeat sends a heartbeat and applies the answer. It reports whether the next one is due soon, because keys were
-// released.
-func (b *backend) sendBeat(client *http.Client) bool {
-	b.mu.Lock()
-	b.seq++
-	isValid := time.Now().Before(b.until)
+// encodeBeat returns the body of a heartbeat. The caller holds the lock.
+func (b *backend) encodeBeat() []byte {
 	beat := map[string]any{
 		"address": b.h.addr(appPort), "born": b.born,
 		"info":   map[string]any{"service": b.h.service, "zone": b.h.zone, "version": "v1", "slots": b.slots},
 		"status": map[string]any{"state": "ready", "seq": b.seq, "warmup_left_ms": 0},
 	}
 	if b.h.keyed {
+		isValid := time.Now().Before(b.until)
 		beat["holds"] = rows(func(key int) uint64 {
 			if isValid || b.working[key] > 0 {
 				return b.fences[key]
@@ -229,8 +228,21 @@
 			beat["released"] = b.released
 		}
 	}
-	b.mu.Unlock()
 	data, _ := json.Marshal(beat)
+	return data
+}
+
+// sendBeat sends a heartbeat and applies the answer. It reports whether the next one is due soon, because keys were
+// released.
+func (b *backend) sendBeat(client *http.Client) bool {
+	b.mu.Lock()
+	if b.isSilent {
+		b.mu.Unlock()
+		return false
+	}
+	b.seq++
+	data := b.encodeBeat()
+	b.mu.Unlock()
 	sentAt := time.Now()
 	r, err := client.Post("http://"+b.h.addr(controlPort)+"/api/instances/"+b.id+"/heartbeat", "application/json",
 		bytes.NewReader(data))
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -9,8 +9,9 @@
 
 // A case returns whether the rule was broken.
 var cases = map[string]func(w *world, isTroubled bool) (bool, error){
-	"poison": poison,
-	"redeal": redeal,
+	"poison":   poison,
+	"redeal":   redeal,
+	"departed": departed,
 }
 
 func main() {
