fix(ownership): keys are not assigned anew below lost fences after a restore

Cause: composeInitial took "neither the store nor this daemon has a record" for a new service, and wrote generation 1 after the settle time, whatever the era.

Change: the lowest generation of an era follows from the era alone, so that all of a later era are above those of an earlier one, and the first record of a restored store waits until the authority of hosts that do not know of the restore has expired. Holds never outlast that authority, so no earlier hold is left then.

--- a/ownership/explore_test.go
+++ b/ownership/explore_test.go
@@ -70,15 +70,18 @@
 		t.Skip("takes minutes; runs without -short")
 	}
 	for m := noMutation + 1; m < mutationCount; m++ {
-		t.Run(mutationNames[m], func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			failedWalk, reason, _, _ := explore(*mutationWalks, m, (*simulation).run)
-			t.Logf("walk %d: %s", failedWalk, reason)
-			g.Expect(failedWalk).To(gomega.BeNumerically(">=", 0), "the mutation was not detected")
-		})
+		t.Run(mutationNames[m], func(t *testing.T) { expectDetected(t, m, (*simulation).run) })
 	}
 }
 
+func expectDetected(t *testing.T, m mutation, play func(*simulation)) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	failedWalk, reason, _, _ := explore(*mutationWalks, m, play)
+	t.Logf("walk %d: %s", failedWalk, reason)
+	g.Expect(failedWalk).To(gomega.BeNumerically(">=", 0), "the mutation was not detected")
+}
+
 // firstWalk is the number of the first walk, for repeating a particular walk.
 var firstWalk = flag.Int("explore.first", 0, "first walk of the exploration")
 
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -41,7 +41,7 @@
 	Service class.Service
 	// Era is the era of the store in which the record was written. Zero means that this is not known.
 	Era store.Era
-	// Generation counts the records of the service. New fences are set to it. In a new era it rises by eraGap.
+	// Generation counts the records of the service. New fences are set to it. It rises with each era.
 	Generation Fence
 	// EraGeneration is the generation of the first record of the era, if the store was restored before.
 	EraGeneration Fence
--- a/ownership/restore.go
+++ b/ownership/restore.go
@@ -15,13 +15,25 @@
 // unsettled. An unsettled host serves only keys that it has owned without interruption since before the restore, and
 // may claim them from other unsettled hosts. Other keys wait until the authority of every host that does not know of
 // the restore has expired, and then get new fences.
+//
+// If neither the store nor any daemon has a record, the copy may be older than the first one. The keys are then assigned
+// anew, also above all fences that may have been lost and after all authority of earlier eras has expired.
 
-// eraGap is by how much the generation rises with each era, so that new fences are above those that were lost.
+// eraGap is the number of generations of an era. Those of a later era are all above those of an earlier one, so that
+// new fences are above those that were lost.
 const eraGap = 1 << 24
 
 // firstEra is the era of a store that was never restored.
 const firstEra = 1
 
+// firstGeneration returns the lowest generation of the records of an era.
+func firstGeneration(era store.Era) Fence {
+	if era <= firstEra {
+		return 1
+	}
+	return eraGap * Fence(era)
+}
+
 // Supersedes reports whether a record may replace another one. A record that was lost when the store was restored, or
 // that was written without knowing of the restore, does not supersede the records that were in force since.
 func (r *Record) Supersedes(known *Record) bool {
@@ -48,7 +60,7 @@
 func (r *Record) nextEra(era store.Era, nonce string) *Record {
 	next := r.nextGeneration(nonce)
 	next.Era = era
-	next.Generation += eraGap * Fence(era-r.Era)
+	next.Generation = max(next.Generation, firstGeneration(era))
 	next.EraGeneration = next.Generation
 	next.Unsettled, next.IsEraSettleable = nil, false
 	for _, member := range next.Members {
--- a/ownership/restore_test.go
+++ b/ownership/restore_test.go
@@ -130,3 +130,42 @@
 		})
 	}
 }
+
+// TestLostFirstRecordIsNotComposedAtOnce guards against keys that are assigned anew at once and from fence 1, when the store
+// was restored from a copy of before the first record and no daemon remembers that record.
+func TestLostFirstRecordIsNotComposedAtOnce(t *testing.T) {
+	const registered = ownership.Instant(time.Minute)
+	timing := ownership.DefaultTiming()
+	for _, c := range []struct {
+		name string
+		eras []store.Era
+		// earliest is the earliest time of the assignment after the last era was observed.
+		earliest time.Duration
+		// above is the highest fence that may have been given out before.
+		above ownership.Fence
+	}{
+		{name: "never restored", eras: []store.Era{1}, earliest: timing.SettleTime},
+		{name: "started after a restore", eras: []store.Era{2}, earliest: timing.AuthorityTime, above: 1 << 24},
+		{name: "started before a restore", eras: []store.Era{1, 2}, earliest: timing.AuthorityTime, above: 1 << 24},
+		{name: "restored twice", eras: []store.Era{3}, earliest: timing.AuthorityTime, above: 3<<24 - 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			m := ownership.NewStateMachine(0, "a", "s", ownership.StoreLayout{}, timing, rand.New(rand.NewPCG(1, 1)))
+			for _, era := range c.eras {
+				m.EraObserved(registered, era)
+			}
+			era := c.eras[len(c.eras)-1]
+			m.Registered(registered, registered, 1, store.MustRevision(era, 31))
+			m.ReadDone(registered, 1, nil, 0, true)
+			m.SetServerState(registered, ownership.ServerReady)
+			m.SetPeers(registered, []ownership.Peer{{Host: "a", IsPresent: true, IsEligible: true, Concurrency: 4}})
+			before := registered.Add(c.earliest - 1)
+			m.Renewed(before, before)
+			g.Expect(findWrite(m.Tick(before))).To(gomega.BeNil())
+			after := registered.Add(c.earliest + c.earliest/10)
+			written := decodeWrite(g, findWrite(m.Tick(after)))
+			g.Expect(written.Keys.At(0).Fence).To(gomega.BeNumerically(">", c.above))
+		})
+	}
+}
--- a/ownership/simulation_effects_test.go
+++ b/ownership/simulation_effects_test.go
@@ -178,11 +178,15 @@
 	case eraGapMissing:
 		before, _ := h.machine.KnownRecord()
 		record := mustDecode(store.Item{Revision: 1, Value: txn.Puts[0].Value})
-		if before == nil || before.Era >= record.Era {
+		switch {
+		case before != nil && before.Era < record.Era:
+			record.Generation = before.Generation + 1
+			record.EraGeneration = record.Generation
+		case before == nil && record.Era > 1:
+			record.Generation = 1
+		default:
 			return txn
 		}
-		record.Generation = before.Generation + 1
-		record.EraGeneration = record.Generation
 		lowered := record.Keys.Clone()
 		for span, a := range lowered.Runs() {
 			a.Fence = min(a.Fence, record.Generation)
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -219,17 +219,23 @@
 }
 
 // composeInitial composes the first record of a service. The first usable host assigns all keys; each further one waits
-// longer, in case that host does not write the record.
+// longer, in case that host does not write the record. If the store was restored, an earlier record may have been lost, so
+// all hosts wait until no host can act on it any more.
 func (m *StateMachine) composeInitial(now Instant, nonce string) *draft {
 	index := m.usableIndex()
 	if index == placement.NoServer || m.serverState != ServerReady {
 		return nil
 	}
-	if now.Sub(m.unchangedSince) < m.timing.SettleTime+time.Duration(index)*m.timing.Stagger {
+	dueAt := m.unchangedSince.Add(m.timing.SettleTime)
+	if m.era > firstEra {
+		dueAt = max(dueAt, m.settlesAt)
+	}
+	if now < dueAt.Add(time.Duration(index)*m.timing.Stagger) {
 		return nil
 	}
 	empty := &Record{Service: m.service, Era: m.era}
 	r := empty.nextGeneration(nonce)
+	r.Generation = firstGeneration(m.era)
 	candidates := m.placementState(empty, "")
 	members := make([]int, len(m.peers))
 	for i, p := range m.peers {
