fix(daemon): after a start, a server gets work only once it is confirmed

Cause: a daemon that starts took one heartbeat and the answer "no departure" of the store, or of another daemon that had just started, as proof that the server had not left. A heartbeat may be seconds late, and the store lacks what was acknowledged while it was down or was lost in a restore.

Evidence: in the new daemon's log, "departures of the backend server known" with a new daemon as source, then "backend server found" with the instance that had deregistered.

Change: what outlives the daemons and the store is the server. A heartbeat within 10 s of the daemon's start may be from before it. Until the server has answered a health check as that instance, and either the store's answer is certain or another heartbeat has followed, it gets no work and no grants. The response to the first heartbeat waits for the health check, so that grants come with it. The stand-in servers answer health checks as the platform's protocol says.

In daemon tests, newDaemon returns a daemon whose start is long ago; their assertions are unchanged.

--- a/backend/warmup.go
+++ b/backend/warmup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/skylarkrelay/skylarkrelay/admission"
@@ -121,15 +120,10 @@
 	}
 }
 
-// maxHealthBody is the size limit of the body of a health response.
-const maxHealthBody = 64 << 10
-
-// CheckWarmup requests the server's health and returns what it stated about its warm-up, or nil if it stated nothing. The
-// request is no call: it is not counted against any limit.
+// CheckWarmup requests the server's health and returns what it stated about its warm-up, or nil if it stated nothing.
 func (client *Client) CheckWarmup(ctx context.Context, path string) (*WarmupStatement, error) {
 	sentAt := client.clock.Now()
-	request := NewRequest(call.Call{Method: http.MethodGet, URI: path, Host: client.address}, http.Header{})
-	response, err := client.health.Do(ctx, request, "", func(*http.Response, bool) bool { return true })
+	response, err := client.requestHealth(ctx, path)
 	if err != nil {
 		return nil, err
 	}
--- a/call/header.go
+++ b/call/header.go
@@ -30,6 +30,8 @@
 	ServerLoad string
 	// Warmup is for how many more milliseconds a backend server is cold, in responses to health checks.
 	Warmup string
+	// Instance is the backend server instance that answers, in responses to health checks.
+	Instance string
 }
 
 // DefaultHeaderNames returns the header names that are used without a platform adapter.
@@ -46,6 +48,7 @@
 		Leaving:          "Skylark-Leaving",
 		ServerLoad:       "Skylark-Server-Load",
 		Warmup:           "Skylark-Warmup-Ms",
+		Instance:         "Skylark-Server-Instance",
 	}
 }
 
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -206,6 +206,7 @@
 	c.runRegistrarEffects(now, c.registrar.Tick(now))
 	c.applyLeavingNotice(now)
 	c.checkServer(now)
+	c.confirmServer(now)
 	c.checkEvacuations(now)
 	c.measureLoad(now)
 	c.runOwnershipEffects(now, c.machine.Tick(now))
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -56,6 +56,14 @@
 func newDaemonWith(t *testing.T, with settings.Settings, s store.Store) *Daemon {
 	t.Helper()
 	d := New(with, Options{Log: hclog.NewNullLogger(), Clock: clockwork.NewRealClock()})
+	d.control.server.lateHeartbeatsUntil = 0 // no heartbeat of before its start is on its way any more
+	runControl(t, d, s)
+	return d
+}
+
+// runControl runs the control goroutine of a daemon until the end of the test.
+func runControl(t *testing.T, d *Daemon, s store.Store) {
+	t.Helper()
 	d.control.store = s
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -69,7 +77,6 @@
 	done := make(chan struct{})
 	d.control.inbox <- func(ownership.Instant) { close(done) }
 	<-done
-	return d
 }
 
 // TestReloadAppliesEachLogLevel changes the log level and then sets it back to that of the start.
--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -28,6 +28,9 @@
 	stored <-chan struct{}
 	// isKnown is closed when the store or another daemon has answered which departure is the newest.
 	isKnown chan struct{}
+	// isCertain is whether that answer includes all departures that were acknowledged: the store was never restored, and has
+	// failed no call that might show an outage in which a departure was acknowledged without it.
+	isCertain bool
 }
 
 // recordDeparture makes the other daemons and the store remember that an instance of the server has announced its end, so
@@ -95,11 +98,12 @@
 func (c *control) readDeparture() {
 	key := c.layout.Departure(c.self)
 	c.async(func(ctx context.Context) func(ownership.Instant) {
-		for ctx.Err() == nil {
+		for hasFailed := false; ctx.Err() == nil; hasFailed = true {
 			item, err := c.store.Get(ctx, key)
 			if err == nil {
 				return func(now ownership.Instant) {
 					c.applyStoreEntries(now, membership.Entry{Key: key, Data: item.Value})
+					c.departure.isCertain = !hasFailed && c.storeEra <= store.FirstEra
 					c.departureKnown("store")
 				}
 			}
--- a/daemon/heartbeats.go
+++ b/daemon/heartbeats.go
@@ -56,9 +56,13 @@
 	if c.pendingHeartbeat.results != nil {
 		c.pendingHeartbeat.results <- heartbeatResult{}
 	}
-	heartbeat.deadline = now
-	if c.server.state == ownership.ServerReady {
+	switch {
+	case c.server.state == ownership.ServerReady:
 		heartbeat.deadline = c.handoverDeadline(now)
+	case c.isKeyed() && c.isConfirming():
+		heartbeat.deadline = now.Add(checkTimeout)
+	default:
+		heartbeat.deadline = now
 	}
 	if heartbeat.deadline > now {
 		// Counting keys walks the whole record, so it is skipped for heartbeats that are answered at once.
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -29,7 +29,11 @@
 	heartbeatAt     ownership.Instant
 	// usableUntil is the time until which a server that is leaving gets new work. It is zero if the server is not leaving.
 	usableUntil ownership.Instant
-	warmupUntil ownership.Instant
+	// confirmation is that of the current instance. Until lateHeartbeatsUntil, a heartbeat may arrive that was sent before
+	// the daemon started.
+	confirmation        confirmation
+	lateHeartbeatsUntil ownership.Instant
+	warmupUntil         ownership.Instant
 	// takenBackAt is when the evacuation of this failure domain last ended, or zero.
 	takenBackAt ownership.Instant
 	nextProbeAt ownership.Instant
@@ -42,9 +46,9 @@
 	return s.state == ownership.ServerClosed || s.state == ownership.ServerEnded
 }
 
-// isSilentAfterReport reports whether the server is silent, but has sent heartbeats to this daemon process before.
+// isSilentAfterReport reports whether the server is silent, but was in use by this daemon process before.
 func (s *serverState) isSilentAfterReport() bool {
-	return s.state == ownership.ServerSilent && s.client != nil
+	return s.state == ownership.ServerSilent && s.confirmation.isConfirmed
 }
 
 // isColdUntilHeartbeat reports whether the server counts as cold because it has sent no heartbeat since its failure domain
@@ -62,6 +66,8 @@
 		heartbeatInterval: s.Backend.HeartbeatInterval,
 		drainTime:         s.Backend.DrainTime,
 		heartbeatAt:       now,
+
+		lateHeartbeatsUntil: now.Add(maxHeartbeatDelay),
 	}
 }
 
@@ -186,6 +192,7 @@
 			"warmup_ms", heartbeat.WarmupLeft.Milliseconds(), "draining", heartbeat.IsDraining)
 		s.hasDeregistered = false
 		s.usableUntil = 0
+		s.confirmation = confirmation{firstHeartbeatAt: now}
 		c.replaceClient(heartbeat)
 	}
 	if heartbeat.IsDraining && !c.departure.newest.Covers(heartbeat.Instance) {
@@ -195,23 +202,35 @@
 	c.applyDeparture(now)
 	s.heartbeatAt = now
 	c.applyWarmup(now, heartbeat, isNew)
-	state := ownership.ServerReady
-	if s.usableUntil != 0 {
-		state = ownership.ServerDraining
-	}
-	c.setServer(now, state, "heartbeat")
+	c.confirmServer(now)
+	c.setServer(now, c.reportedServerState(), "heartbeat")
 	if c.isKeyed() {
 		c.runOwnershipEffects(now, c.machine.Heartbeat(now, heartbeat))
 	}
 	return nil
 }
 
-// serverLeaves records that the server is leaving, unless that is known. It gets new work for a while.
+// reportedServerState returns the state of the server by its last heartbeat.
+func (c *control) reportedServerState() ownership.ServerState {
+	switch {
+	case c.server.usableUntil != 0:
+		return ownership.ServerDraining
+	case c.server.confirmation.isConfirmed:
+		return ownership.ServerReady
+	default:
+		return ownership.ServerUnknown
+	}
+}
+
+// serverLeaves records that the server is leaving, unless that is known. It gets new work for a while if it was in use.
 func (c *control) serverLeaves(now ownership.Instant, instance ownership.Instance, reason string) {
 	if c.server.usableUntil != 0 {
 		return
 	}
-	usable := usableDrainTime(c.server.drainTime)
+	usable := time.Duration(0)
+	if c.server.confirmation.isConfirmed {
+		usable = usableDrainTime(c.server.drainTime)
+	}
 	c.server.usableUntil = now.Add(usable)
 	c.log.Info("backend server is draining", "instance", instance.String(), "reason", reason,
 		"usable_ms", usable.Milliseconds())
--- a/ownership/restore.go
+++ b/ownership/restore.go
@@ -23,12 +23,9 @@
 // new fences are above those that were lost.
 const eraGap = 1 << 24
 
-// firstEra is the era of a store that was never restored.
-const firstEra = 1
-
 // firstGeneration returns the lowest generation of the records of an era.
 func firstGeneration(era store.Era) Fence {
-	if era <= firstEra {
+	if era <= store.FirstEra {
 		return 1
 	}
 	return eraGap * Fence(era)
@@ -148,7 +145,7 @@
 	if r.Era != 0 {
 		return r.Era == m.era
 	}
-	return m.era <= firstEra || m.record != nil && !m.isRecordOutdated && m.recordRevision.Era() == revision.Era()
+	return m.era <= store.FirstEra || m.record != nil && !m.isRecordOutdated && m.recordRevision.Era() == revision.Era()
 }
 
 // applyOutdated records a record that is in the store but not in force, and has to be written again.
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -227,7 +227,7 @@
 		return nil
 	}
 	dueAt := m.unchangedSince.Add(m.timing.SettleTime)
-	if m.era > firstEra {
+	if m.era > store.FirstEra {
 		dueAt = max(dueAt, m.settlesAt)
 	}
 	if now < dueAt.Add(time.Duration(index)*m.timing.Stagger) {
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -100,7 +100,7 @@
 // mayBreakConnections reports whether a fault in the given period may have broken connections of callers to a host.
 func (r *runner) mayBreakConnections(h *deployment.Host, from, to time.Time) bool {
 	return r.hasInjection(from.Add(-faultAftermath), to, func(i injection) bool {
-		return i.fault.breaksConnections && i.host == h.ID
+		return i.fault.breaksConnections == everywhere || i.fault.breaksConnections == onHost && i.host == h.ID
 	})
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -12,8 +12,8 @@
 // fault is a kind of fault that can be injected into a host or into the store.
 type fault struct {
 	name string
-	// breaksConnections is set if callers of the host may see broken connections.
-	breaksConnections bool
+	// breaksConnections is where callers may see broken connections.
+	breaksConnections scope
 	// holdsUpCalls is set if calls to the host may be held up without a sign of it.
 	holdsUpCalls bool
 	// delaysConfig is where a configuration may take longer to come into force: on the host, or everywhere.
@@ -59,10 +59,10 @@
 // faults returns all faults that a schedule draws from.
 func faults() []fault {
 	return []fault{
-		{name: "kill", breaksConnections: true, delaysConfig: onHost, inject: killDaemon, revert: startDaemon},
+		{name: "kill", breaksConnections: onHost, delaysConfig: onHost, inject: killDaemon, revert: startDaemon},
 		{name: "terminate", delaysConfig: onHost, inject: terminateDaemon, revert: startDaemon},
 		{
-			name: "freeze", breaksConnections: true, delaysConfig: onHost,
+			name: "freeze", breaksConnections: onHost, delaysConfig: onHost,
 			inject: freezeDaemon,
 			revert: signalDaemon(syscall.SIGCONT),
 		},
@@ -71,17 +71,17 @@
 		{name: "server drain", inject: drainServer, revert: startServer},
 		{name: "server shutdown", inject: shutDownServer, revert: startServer},
 		{
-			name: "departure before restart", breaksConnections: true, delaysConfig: onHost,
+			name: "departure before restart", breaksConnections: onHost, delaysConfig: onHost,
 			inject: deregisterBeforeRestart,
 			revert: startServer,
 		},
 		{
-			name: "cut", breaksConnections: true, holdsUpCalls: true, delaysConfig: onHost,
+			name: "cut", breaksConnections: onHost, holdsUpCalls: true, delaysConfig: onHost,
 			inject: impairLinks(Impairment{StallToTarget: true, StallFromTarget: true}, peerLinks...),
 			revert: restoreLinks(peerLinks...),
 		},
 		{
-			name: "cut one way", breaksConnections: true, holdsUpCalls: true, delaysConfig: onHost,
+			name: "cut one way", breaksConnections: onHost, holdsUpCalls: true, delaysConfig: onHost,
 			inject: impairLinks(Impairment{StallToTarget: true}, peerLinks...),
 			revert: restoreLinks(peerLinks...),
 		},
@@ -90,7 +90,7 @@
 			inject: impairLinks(Impairment{Delay: linkDelay}, peerLinks...),
 			revert: restoreLinks(peerLinks...),
 		},
-		{name: "reset", breaksConnections: true, delaysConfig: onHost, inject: resetLinks, revert: resetLinks},
+		{name: "reset", breaksConnections: onHost, delaysConfig: onHost, inject: resetLinks, revert: resetLinks},
 		{
 			name: "store silent", delaysConfig: onHost,
 			inject: impairLinks(Impairment{StallToTarget: true, StallFromTarget: true}, deployment.ToStore),
@@ -116,6 +116,11 @@
 		{name: coldFault, inject: coolServer},
 		{name: hangFault, inject: hangServer},
 		{name: "evacuation", inject: evacuateDomain, revert: takeDomainBack},
+		{
+			name: "departure before loss of all daemons", breaksConnections: everywhere, delaysConfig: everywhere,
+			inject: deregisterBeforeLoss,
+			revert: startServer,
+		},
 	}
 }
 
@@ -216,6 +221,29 @@
 	}
 }
 
+// deregisterBeforeLoss makes a backend server deregister while the store is down, kills all daemons and delivers a heartbeat
+// that the server sent before. Every second time, the store comes back from a copy.
+func deregisterBeforeLoss(r *runner, h *deployment.Host) {
+	storeCopy := r.deployment.CopyStore()
+	deliver := h.HoldBackHeartbeat()
+	r.deployment.TakeStoreDown(false)
+	h.DeregisterServer()
+	r.forEachHost(killDaemon)
+	r.forEachHost(startDaemon)
+	if r.countLoss()%2 == 0 {
+		r.reportHarnessError(r.deployment.RestoreStore(storeCopy))
+	} else {
+		r.deployment.BringStoreUp()
+	}
+	if !deployment.Sleep(r.ctx, heartbeatDelay) {
+		return
+	}
+	deliver()
+	if deployment.Sleep(r.ctx, drainDuration) {
+		crashServer(r, h)
+	}
+}
+
 func coolServer(_ *runner, h *deployment.Host) { h.CoolServer(coldDuration) }
 
 func hangServer(_ *runner, h *deployment.Host) { h.HangServer(hangDuration) }
--- a/soak/run.go
+++ b/soak/run.go
@@ -72,6 +72,8 @@
 	published []publishedConfig
 	// storeCopy is the newest copy of the store.
 	storeCopy *store.MemoryCopy
+	// losses counts how often all daemons were killed.
+	losses int
 }
 
 // injection is a fault and the time during which it was injected into a host. A zero end (to) means that the fault is
@@ -175,6 +177,23 @@
 	action()
 }
 
+// forEachHost applies an action to all hosts at the same time.
+func (r *runner) forEachHost(action func(*runner, *deployment.Host)) {
+	var group sync.WaitGroup
+	for _, h := range r.deployment.Hosts {
+		group.Go(func() { action(r, h) })
+	}
+	group.Wait()
+}
+
+// countLoss counts a loss of all daemons and returns the number of those before it.
+func (r *runner) countLoss() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.losses++
+	return r.losses - 1
+}
+
 // reportHarnessError records an error of the test harness as a violation, because no operation of the harness may fail.
 func (r *runner) reportHarnessError(err error) {
 	if err != nil {
--- a/standin/deployment/departure.go
+++ b/standin/deployment/departure.go
@@ -11,6 +11,9 @@
 // deregister announces the end of the server and sends no more heartbeats. It reports whether the daemon acknowledged it.
 func (s *Server) deregister() bool {
 	s.stop()
+	s.mu.Lock()
+	s.isDeregistered = true
+	s.mu.Unlock()
 	path, body, err := platform.EncodeDeregistration(s.instance)
 	if err != nil || !s.postOnce(path, body) {
 		return false
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -69,6 +69,8 @@
 	released []ownership.Release
 	sequence uint64
 	draining bool
+	// isDeregistered is set when the server has begun to announce its end without a drain.
+	isDeregistered bool
 	// drainAcknowledgedAt is when the daemon first acknowledged a heartbeat that announced the drain.
 	drainAcknowledgedAt time.Time
 	queued              int
@@ -283,7 +285,8 @@
 // ServeHTTP executes one request if it is addressed to this instance of the server and, for a keyed service, to a key
 // that the server holds.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.warmup.serveHealth(w, r, s.headers) {
+	if r.URL.Path == s.warmup.settings.HealthPath {
+		s.serveHealth(w)
 		return
 	}
 	header := w.Header()
@@ -340,6 +343,18 @@
 	_, _ = w.Write(body) // the daemon may have closed the connection
 }
 
+// serveHealth answers a health check.
+func (s *Server) serveHealth(w http.ResponseWriter) {
+	s.warmup.stateWarmup(w.Header(), s.headers)
+	w.Header().Set(s.headers.Instance, s.instance.ID)
+	s.mu.Lock()
+	isLeaving := s.draining || s.isDeregistered
+	s.mu.Unlock()
+	if isLeaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // deadlyPath is the end of the path of requests that crash the servers that run them.
 const deadlyPath = "deadly"
 
--- a/standin/deployment/warmup.go
+++ b/standin/deployment/warmup.go
@@ -74,13 +74,9 @@
 	return false
 }
 
-// serveHealth answers a health check, and reports whether the request is one.
-func (w *warmup) serveHealth(out http.ResponseWriter, r *http.Request, names call.HeaderNames) bool {
-	if r.URL.Path != w.settings.HealthPath {
-		return false
-	}
-	out.Header().Set(names.Warmup, strconv.FormatInt(w.left().Milliseconds(), 10))
-	return true
+// stateWarmup states the warm-up in the response to a health check.
+func (w *warmup) stateWarmup(header http.Header, names call.HeaderNames) {
+	header.Set(names.Warmup, strconv.FormatInt(w.left().Milliseconds(), 10))
 }
 
 // isHanging reports whether the server leaves requests unanswered.
--- a/store/store.go
+++ b/store/store.go
@@ -13,6 +13,9 @@
 // and gives out the same revisions again. Zero means that the store does not state its era.
 type Era uint32
 
+// FirstEra is the era of a store that was never restored.
+const FirstEra Era = 1
+
 // Revision orders the changes of the store across restores: by its era first, then by the store's change counter. An
 // item has the revision of its last change. Zero means that the item does not exist.
 type Revision uint64
