fix(daemon): departures are written again to a store that lost them

What callers could see: nothing by itself. A departure that was acknowledged before a restore, or that a later process learned from another daemon while the store was down, was in the memory of the daemons only. With all of them lost, nobody knew of it.

Cause: only the process that acknowledged a departure wrote it, once.

Change: the newest departure is written again when the daemon learns of a restore, and when the store answers a new process with an older one or none.

Test: TestDepartureIsStoredAgain; both of its cases fail without the change.

--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -33,6 +33,15 @@
 	isCertain bool
 }
 
+// isStoredAs reports whether a value of the store is the newest departure, or there is none.
+func (d *departureState) isStoredAs(value []byte) bool {
+	if d.newest == (membership.Departure{}) {
+		return true
+	}
+	stored, err := membership.DecodeEntry[membership.Departure](membership.Entry{Data: value})
+	return err == nil && stored == d.newest
+}
+
 // recordDeparture makes the other daemons and the store remember that an instance of the server has announced its end, so
 // that the acknowledgement also binds a later process of this daemon.
 func (c *control) recordDeparture(instance ownership.Instance) {
@@ -48,6 +57,11 @@
 	update := peer.Update{Entries: []membership.Entry{entry}}
 	c.pushLocal(update)
 	c.pushRemote(update)
+	c.startStoringDeparture(entry)
+}
+
+// startStoringDeparture starts to write the newest departure to the store.
+func (c *control) startStoringDeparture(entry membership.Entry) {
 	stored := make(chan struct{})
 	c.departure.stored = stored
 	c.async(func(ctx context.Context) func(ownership.Instant) {
@@ -56,6 +70,21 @@
 	})
 }
 
+// storeDepartureAgain writes the newest departure to a store that has another one, or none.
+func (c *control) storeDepartureAgain(reason string) {
+	if c.departure.newest == (membership.Departure{}) {
+		return
+	}
+	entry, err := c.departure.newest.Entry(c.layout.Departure(c.self))
+	if err != nil {
+		c.log.Error("departure not stored again", "error", err)
+		return
+	}
+	c.log.Info("departure of the backend server stored again", "instance", c.departure.newest.Instance.String(),
+		"reason", reason)
+	c.startStoringDeparture(entry)
+}
+
 // storeDeparture writes a departure until the store has it, for departureWriteTime at most.
 func (c *control) storeDeparture(ctx context.Context, entry membership.Entry, stored chan<- struct{}) {
 	start := c.clock.Now()
@@ -104,6 +133,9 @@
 				return func(now ownership.Instant) {
 					c.applyStoreEntries(now, membership.Entry{Key: key, Data: item.Value})
 					c.departure.isCertain = !hasFailed && c.storeEra <= store.FirstEra
+					if !c.departure.isStoredAs(item.Value) {
+						c.storeDepartureAgain("learned from another daemon")
+					}
 					c.departureKnown("store")
 				}
 			}
--- a/daemon/departure_test.go
+++ b/daemon/departure_test.go
@@ -104,3 +104,39 @@
 	gossipHandler{after.control}.Push(peer.Update{Entries: entries})
 	g.Expect(mayGetWork(after)).To(gomega.BeFalse())
 }
+
+// TestDepartureIsStoredAgain guards against a departure that only the daemons have: the store was restored from a copy of
+// before, or was down when the departure was recorded.
+func TestDepartureIsStoredAgain(t *testing.T) {
+	isStored := func(d *Daemon, memory *store.Memory) func() bool {
+		return func() bool {
+			item, err := memory.Get(context.Background(), d.control.layout.Departure("h"))
+			return err == nil && item.Revision != 0
+		}
+	}
+	t.Run("store restored", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		memory := store.NewMemory(clockwork.NewRealClock())
+		older := memory.Copy()
+		d := newDaemon(t, memory)
+		d.control.postEra(1)
+		g.Expect(sendHeartbeat(d, ownership.Instance{ID: "i", Born: 5}, 1)).To(gomega.Succeed())
+		g.Expect(heartbeatHandler{d.control}.Deregister(context.Background(), "i", 5)).To(gomega.Succeed())
+		g.Expect(isStored(d, memory)()).To(gomega.BeTrue())
+		memory.Restore(older)
+		d.control.postEra(2)
+		g.Eventually(isStored(d, memory)).Should(gomega.BeTrue())
+	})
+	t.Run("learned from another daemon", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		before := newDaemon(t, downStore{})
+		g.Expect(sendHeartbeat(before, ownership.Instance{ID: "i", Born: 5}, 1)).To(gomega.Succeed())
+		g.Expect(heartbeatHandler{before.control}.Deregister(context.Background(), "i", 5)).To(gomega.Succeed())
+		entries, err := before.control.replica.Newer(nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		memory := store.NewMemory(clockwork.NewRealClock())
+		after := newDaemon(t, &recoveringStore{Store: memory})
+		gossipHandler{after.control}.Push(peer.Update{Entries: entries})
+		g.Eventually(isStored(after, memory), 3*time.Second).Should(gomega.BeTrue())
+	})
+}
--- a/daemon/era.go
+++ b/daemon/era.go
@@ -23,6 +23,7 @@
 	if c.storeEra != 0 {
 		c.log.Warn("store was restored from a copy; reading all values again", "era", era, "previous", c.storeEra)
 		c.isReadDue = true
+		c.storeDepartureAgain("store restored")
 	}
 	c.storeEra = era
 	c.runOwnershipEffects(now, c.machine.EraObserved(now, era))
