fix(membership): epochs begin with the era of the store

What callers could see: requests not sent to a host that was in order. A host whose epoch is not in the copy of a restored store, and whose daemon restarted, counted its epochs from one again; other daemons take its announcements for old ones until its count passes the earlier one.

Cause: the gap between eras was counted from the epoch in the store.

Change: the lowest epoch follows from the era alone.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -175,6 +175,24 @@
 	g.Expect(restarted.epochs[0]).To(gomega.BeNumerically(">", r.epochs[1]), "epochs that were lost are not used again")
 }
 
+// TestEpochsRiseWithoutTheLostOne guards against announcements that other daemons take for older ones: the store was restored
+// from a copy of before the host's first registration, and the daemon has restarted.
+func TestEpochsRiseWithoutTheLostOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := store.NewMemory(clockwork.NewFakeClock())
+	empty := s.Copy()
+	lost := ownership.Epoch(0)
+	for range 3 {
+		r := newRegistrarDriver(s)
+		r.execute(r.registrar.EraObserved(r.now, s.Era()))
+		r.advance(0)
+		g.Expect(r.epochs).To(gomega.HaveLen(1))
+		g.Expect(r.epochs[0]).To(gomega.BeNumerically(">", lost))
+		lost = r.epochs[0]
+		s.Restore(empty)
+	}
+}
+
 // TestRenewalAcrossARestoreIsVoid guards against authority that is extended by the renewal of a lease of an earlier era.
 func TestRenewalAcrossARestoreIsVoid(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/membership/registrar.go
+++ b/membership/registrar.go
@@ -66,10 +66,18 @@
 	return item, nil
 }
 
-// epochEraGap is by how much an epoch rises with each era of the store, because the newest epochs of an era may have
-// been lost.
+// epochEraGap is the number of epochs of an era. Those of a later era are all above those of an earlier one, because any of
+// them may have been lost.
 const epochEraGap = 1 << 20
 
+// epochsBefore returns the highest epoch of the eras before an era.
+func epochsBefore(era store.Era) ownership.Epoch {
+	if era <= store.FirstEra {
+		return 0
+	}
+	return epochEraGap * ownership.Epoch(era)
+}
+
 // Registrar keeps this host registered. It makes no calls itself: a single control goroutine carries out its effects
 // and passes it the results.
 //
@@ -158,17 +166,21 @@
 	if item.Revision == 0 || err != nil {
 		return // an item that cannot be decoded is replaced; the write is still conditional on its revision
 	}
-	r.epoch = max(r.epoch, stored.Epoch+epochEraGap*ownership.Epoch(r.era-min(r.era, stored.Era)))
+	r.epoch = max(r.epoch, stored.Epoch)
 }
 
 // EraObserved records the era of the store. If it is not the first one that this daemon observes, the store was
 // restored: the lease, the registration and a call in progress belong to an earlier era.
 func (r *Registrar) EraObserved(now ownership.Instant, era store.Era) []Effect {
-	if r.era == 0 || era <= r.era {
-		r.era = max(r.era, era)
+	if era <= r.era {
 		return nil
 	}
+	isFirst := r.era == 0
 	r.era = era
+	r.epoch = max(r.epoch, epochsBefore(era))
+	if isFirst {
+		return nil
+	}
 	r.isCallOutdated = r.isCallPending
 	r.lease, r.epochRevision = 0, 0
 	if !r.isRegistered {
