fix(quarantine): hosts take turns to try a request that was held back

Cause: each daemon ended the hold by itself, up to 6 s later than others by chance. That spread the ends of the holds, not the trials. A trial of a request that may be repeated also went on to a second server before the report of the crash had come.

Change: after a hold, the hosts take turns of 0.5 s, and the one whose turn it is sends one call, to one server, without a hedge. The random delay is gone.

Tests: TestTrialsDoNotBeginAtOnce asked two lists with different delays once; it now asks nine lists at all moments of 6 s, after two and three crashes, which is stricter, and fails without turns. TestCallOnProbationIsSentOnce fails without the change, TestEachHostHasATurn is new.

--- a/caller/hedge.go
+++ b/caller/hedge.go
@@ -192,7 +192,7 @@
 		return nil, HedgeWithheldAttempts
 	case c.Deadline.Sub(r.clock.Now()) < usual:
 		return nil, HedgeWithheldTime
-	case c.IsSuspected || !r.quarantine.Check(c).HeldUntil.IsZero():
+	case c.IsSuspected || state.isOnProbation || !r.quarantine.Check(c).HeldUntil.IsZero():
 		return nil, HedgeWithheldSuspected
 	case r.hedges.isRejecting(c.Service) || r.bounded.isRejecting(c):
 		return nil, HedgeWithheldRejecting
--- a/caller/quarantine_test.go
+++ b/caller/quarantine_test.go
@@ -57,3 +57,22 @@
 	g.Expect(sender.calls[1].IsSuspected).To(gomega.BeTrue())
 	g.Expect(result.Outcome).To(gomega.Equal(class.Unknown))
 }
+
+// TestCallOnProbationIsSentOnce guards against a request that crashes a second server before the report of the first crash has
+// arrived.
+func TestCallOnProbationIsSentOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	sender := &scriptedSender{results: []call.Result{call.Unknown(call.ServerEnded), {Outcome: class.Answered, Status: 200}}}
+	relay, _ := newRelay(sender, newRoutes(), clock)
+	list := quarantine.NewList(clock)
+	relay.HoldBack(list)
+	request := newReadCall(clock)
+	for _, host := range []ownership.HostID{"h3", "h2", "h1"} {
+		list.Add(quarantine.Report{Request: request.Fingerprint(), Crash: quarantine.Crash{Host: host}, At: clock.Now()})
+	}
+	clock.Advance(31 * time.Second)
+	result := relay.Do(context.Background(), newReadCall(clock))
+	g.Expect(sender.calls).To(gomega.HaveLen(1))
+	g.Expect(result.Outcome).To(gomega.Equal(class.Unknown))
+}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -144,6 +144,8 @@
 	// the next attempt has been paid for from the retry budget.
 	isResent bool
 	isPaid   bool
+	// isOnProbation reports whether the call was sent although it had been held back.
+	isOnProbation bool
 	// mayHaveRun reports whether the outcome of any attempt was unknown.
 	mayHaveRun bool
 }
@@ -207,10 +209,16 @@
 	}
 }
 
-// isHeld reports whether the call is held back, and records that as the result.
+// isHeld reports whether the call is held back, and records that as the result. A call that was sent on probation may be
+// offered to another server if the first one did not run it.
 func (r *Relay) isHeld(state *callState) bool {
-	verdict := r.quarantine.Check(state.call)
+	check := r.quarantine.Try
+	if state.isOnProbation {
+		check = r.quarantine.Check
+	}
+	verdict := check(state.call)
 	if verdict.HeldUntil.IsZero() {
+		state.isOnProbation = verdict.IsOnProbation
 		return false
 	}
 	state.lastResult = verdict.Refusal(r.clock.Now())
@@ -314,7 +322,7 @@
 		return r.chooseActionNotRun(state, hasAttempts)
 	case class.Unknown:
 		isLost := state.lastResult.Reason == call.AnswerLost || state.lastResult.Reason == call.ServerEnded
-		if state.call.Class.Idempotent && hasAttempts && isLost && r.hasTimeToRetry(state) {
+		if state.call.Class.Idempotent && hasAttempts && isLost && !state.isOnProbation && r.hasTimeToRetry(state) {
 			return retryNow
 		}
 		return finishCall
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,7 +81,6 @@
 		events:     timeline.NewRecorder(string(s.Host), s.Timeline.Events, o.Clock),
 	}
 	d.quarantine = quarantine.NewList(o.Clock)
-	d.quarantine.SetTrialDelay(rand.N(quarantine.MaxTrialDelay))
 	d.observer = newObserver(o.Log, d.registry, d.events, o.Clock, s.Log.LinesPerSecond)
 	seed := rand.Uint64()
 	policy := admission.NewTargetPolicy(defaultConcurrency)
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/membership"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/quarantine"
 )
 
 // updateRoutes applies the current membership to the routes of calls and to the ownership machine.
@@ -18,7 +19,11 @@
 	domainSizes := map[ownership.FailureDomain]int{}
 	var controlAddresses []string
 	peers := map[string]peerHost{}
-	for _, h := range c.roster.Hosts() {
+	hosts := c.roster.Hosts()
+	for i, h := range hosts {
+		if h.Host == c.self {
+			c.daemon.quarantine.SetTurn(quarantine.Turn{Index: i, Count: len(hosts)})
+		}
 		domainSizes[h.Domain]++
 		if h.Host != c.self {
 			hopAddresses[h.HopAddress] = true
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -35,8 +35,6 @@
 	// a common cause, such as a loss of power, beside which a popular request was running on all servers. Only another
 	// round, after probationTime, shows that the request is the cause.
 	roundGap = 10 * time.Second
-	// MaxTrialDelay bounds the delay of SetTrialDelay.
-	MaxTrialDelay = 6 * time.Second
 	// maxClockSkew is how far the clock of a reporting host may be ahead of the local one.
 	maxClockSkew = time.Minute
 	// maxRequests bounds the number of requests with reports.
@@ -68,6 +66,8 @@
 	IsSuspected bool
 	// HeldUntil is the time until which the request must not be sent to a server. It is zero if it may be sent.
 	HeldUntil time.Time
+	// IsOnProbation means that the request was held back and may run once more. Hosts take turns to try it.
+	IsOnProbation bool
 	// Crashes is the number of crashes in which it was running.
 	Crashes int
 }
@@ -93,10 +93,9 @@
 	clock clockwork.Clock
 	// size is the number of requests with reports.
 	size atomic.Int64
-	// trialDelay is how much longer a request is held back here after crashes of one round.
-	trialDelay time.Duration
 
 	mu       sync.Mutex
+	turn     Turn
 	requests map[call.Fingerprint]*suspect
 }
 
@@ -104,6 +103,8 @@
 type suspect struct {
 	crashes    map[Crash]time.Time
 	answeredAt time.Time
+	// triedAt is when this host last tried the request after it had been held back.
+	triedAt time.Time
 }
 
 // NewList returns an empty list.
@@ -111,10 +112,12 @@
 	return &List{clock: clock, requests: map[call.Fingerprint]*suspect{}}
 }
 
-// SetTrialDelay sets how much longer this host holds a request back that was running in several crashes of one round. Hosts
-// with different delays do not try the request at once, so that the first trial decides for all. It must be called before the
-// first report.
-func (l *List) SetTrialDelay(delay time.Duration) { l.trialDelay = delay }
+// SetTurn sets the turn of this host.
+func (l *List) SetTurn(turn Turn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.turn = turn
+}
 
 // IsEmpty reports whether there are no reports. It is cheap, and spares the fingerprint of a request.
 func (l *List) IsEmpty() bool { return l.size.Load() == 0 }
@@ -230,7 +233,39 @@
 func (l *List) Verdict(request call.Fingerprint) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.requests[request].verdict(l.clock.Now())
+}
+
+// Try returns what is known of a call that is sent if it is not held back. A call on probation is held back until this
+// host's turn, and one call is sent in each turn.
+func (l *List) Try(c call.Call) Verdict {
+	if l.IsEmpty() {
+		return Verdict{}
+	}
+	request := c.Fingerprint()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
 	s := l.requests[request]
+	verdict := s.verdict(now)
+	if !verdict.IsOnProbation {
+		return verdict
+	}
+	heldUntil := s.heldUntil(s.pending())
+	start := l.turn.startsAt(now, heldUntil)
+	if !s.triedAt.Before(start) { // it was tried in this turn
+		start = l.turn.startsAt(start.Add(startTime), heldUntil)
+	}
+	if start.After(now) {
+		verdict.HeldUntil = start
+	} else {
+		s.triedAt = now
+	}
+	return verdict
+}
+
+// verdict returns what is known of a request at a time.
+func (s *suspect) verdict(now time.Time) Verdict {
 	if s == nil {
 		return Verdict{}
 	}
@@ -239,19 +274,25 @@
 		return Verdict{}
 	}
 	verdict := Verdict{IsSuspected: true, Crashes: crashes}
-	var held time.Duration
+	switch until := s.heldUntil(crashes, last); {
+	case until.After(now):
+		verdict.HeldUntil = until
+	case crashes >= probationCrashes:
+		verdict.IsOnProbation = true
+	}
+	return verdict
+}
+
+// heldUntil returns the time until which a request is held back after a number of crashes, of which the last was at a time.
+func (s *suspect) heldUntil(crashes int, last time.Time) time.Time {
 	switch {
 	case crashes >= holdCrashes && s.hasRecurred():
-		held = reportTTL
-	case crashes >= holdCrashes:
-		held = probationTime + l.trialDelay
+		return last.Add(reportTTL)
 	case crashes >= probationCrashes:
-		held = probationTime
+		return last.Add(probationTime)
+	default:
+		return time.Time{}
 	}
-	if until := last.Add(held); held > 0 && until.After(l.clock.Now()) {
-		verdict.HeldUntil = until
-	}
-	return verdict
 }
 
 // Expire drops requests whose last crash was reportTTL ago.
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -131,24 +131,70 @@
 }
 
 // TestTrialsDoNotBeginAtOnce guards against a request that crashes several servers at the same moment again, when it may run
-// once more after the crashes of one round.
+// once more after it was held back. It comes at all hosts at any time, and the report of its crash spreads within 100 ms.
 func TestTrialsDoNotBeginAtOnce(t *testing.T) {
+	const hosts = 9
+	for _, crashes := range []int{2, 3} {
+		t.Run(fmt.Sprint(crashes, " crashes"), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			deadly := call.Call{URI: "/deadly"}
+			var lists [hosts]*quarantine.List
+			for i := range lists {
+				lists[i] = quarantine.NewList(clock)
+				lists[i].SetTurn(quarantine.Turn{Index: i, Count: hosts})
+				for n := range crashes {
+					lists[i].Add(quarantine.Report{Request: deadly.Fingerprint(), Crash: crashOf(fmt.Sprint("h", n)), At: clock.Now()})
+				}
+			}
+			clock.Advance(30*time.Second - time.Millisecond)
+			for i := range lists {
+				g.Expect(lists[i].Try(deadly).Held(clock.Now())).To(gomega.BeNumerically(">", 0), "before the end of the hold")
+			}
+			var reports []quarantine.Report
+			for range 600 {
+				for i := range lists {
+					if verdict := lists[i].Try(deadly); verdict.HeldUntil.IsZero() {
+						reports = append(reports, quarantine.Report{
+							Request: deadly.Fingerprint(), Crash: crashOf(fmt.Sprint("t", len(reports))), At: clock.Now(),
+						})
+					}
+				}
+				clock.Advance(10 * time.Millisecond)
+				for _, r := range reports {
+					for i := range lists {
+						if clock.Since(r.At) >= 100*time.Millisecond {
+							lists[i].Add(r)
+						}
+					}
+				}
+			}
+			trials := 1
+			if crashes == 2 {
+				trials = 2 // with the third crash of one round it is held back for 30 s
+			}
+			g.Expect(len(reports)).To(gomega.BeNumerically(">=", 1))
+			g.Expect(len(reports)).To(gomega.BeNumerically("<=", trials))
+		})
+	}
+}
+
+// TestEachHostHasATurn guards against a request that only one host gets, and that is never tried again.
+func TestEachHostHasATurn(t *testing.T) {
 	g := gomega.NewWithT(t)
 	clock := clockwork.NewFakeClock()
-	first, second := quarantine.NewList(clock), quarantine.NewList(clock)
-	second.SetTrialDelay(3 * time.Second)
-	request := fingerprintOf("menu")
+	list := quarantine.NewList(clock)
+	list.SetTurn(quarantine.Turn{Index: 7, Count: 9})
+	request := call.Call{URI: "/menu"}
 	for _, host := range []string{"h1", "h2", "h3"} {
-		report := quarantine.Report{Request: request, Crash: crashOf(host), At: clock.Now()}
-		first.Add(report)
-		second.Add(report)
+		list.Add(quarantine.Report{Request: request.Fingerprint(), Crash: crashOf(host), At: clock.Now()})
 	}
 	clock.Advance(31 * time.Second)
-	g.Expect(first.Verdict(request).HeldUntil).To(gomega.BeZero())
-	g.Expect(second.Verdict(request).HeldUntil).NotTo(gomega.BeZero())
-	trial := quarantine.Report{Request: request, Crash: crashOf("h4"), At: clock.Now()}
-	second.Add(trial)
-	g.Expect(second.Verdict(request).Held(clock.Now())).To(gomega.Equal(10 * time.Minute))
+	clock.Advance(list.Try(request).Held(clock.Now()))
+	g.Expect(list.Try(request).HeldUntil).To(gomega.BeZero())
+	g.Expect(list.Try(request).HeldUntil).NotTo(gomega.BeZero(), "one call in each turn")
+	list.Add(quarantine.Report{Request: request.Fingerprint(), At: clock.Now()})
+	g.Expect(list.Try(request)).To(gomega.BeZero(), "a server has answered it")
 }
 
 // TestListsWithTheSameReportsAgree checks that the order of reports does not matter, as they arrive from several hosts.
