test(daemon): the confirmation of a server is awaited without a pause

The new test waited 30 ms between two heartbeats. It now moves the time of the first one, and waits for the health check to end; the same state is expected.

--- a/daemon/confirmation_test.go
+++ b/daemon/confirmation_test.go
@@ -114,9 +114,9 @@
 	d, sendHeartbeat = startedDaemon(t, &recoveringStore{Store: store.NewMemory(clockwork.NewRealClock())}, 1, server)
 	sendHeartbeat(1)
 	g.Expect(mayGetWork(d)).To(gomega.BeFalse())
-	time.Sleep(30 * time.Millisecond) // more than half a heartbeat interval
+	d.control.post(context.Background(), func(ownership.Instant) { d.control.server.confirmation.firstHeartbeatAt = 0 })
 	sendHeartbeat(2)
-	g.Expect(mayGetWork(d)).To(gomega.BeTrue(), "it goes on")
+	g.Eventually(func() bool { return mayGetWork(d) }, time.Second).Should(gomega.BeTrue(), "it goes on")
 }
 
 // TestUnhealthyServerIsConfirmedByLaterHeartbeats guards against a server that never gets work again because it does not
