--- a/ownership/machine_test.go
+++ b/ownership/machine_test.go
@@ -12,6 +12,7 @@
 	"github.com/skylarkrelay/skylarkrelay/class"
 	"github.com/skylarkrelay/skylarkrelay/keyspace"
 	"github.com/skylarkrelay/skylarkrelay/ownership"
+	"github.com/skylarkrelay/skylarkrelay/placement"
 	"github.com/skylarkrelay/skylarkrelay/store"
 )
 
@@ -116,6 +117,32 @@
 	g.Expect(bytesFor(128) / bytesFor(16)).To(gomega.BeNumerically("<", 1.5*128/16))
 }
 
+// TestGrantsFitAfterARestore guards against keys that are owned and never served: the fences of a restored store have eight
+// digits, and a host may own as many spans as placement gives it.
+func TestGrantsFitAfterARestore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, record := newOwnerMachine(2 * placement.MaxSpans)
+	restored := stripedRecord(2*placement.MaxSpans, 2<<24)
+	for span, a := range record.Keys.Runs() {
+		a.Fence += 2 << 24
+		restored.Keys.Set(span, a)
+	}
+	m.RecordReceived(4, restored, 21)
+	now := ownership.Instant(time.Second)
+	m.Heartbeat(now, heartbeatWith(1, nil))
+	m.HeartbeatResponse(now)
+	served, _ := m.ServedKeys()
+	unserved := 0
+	for span, a := range restored.Keys.Runs() {
+		for part, isServed := range served.Within(span) {
+			if a.Owner == 0 && !isServed {
+				unserved += part.Size()
+			}
+		}
+	}
+	g.Expect(unserved).To(gomega.BeZero(), "keys that the record assigns to the host and that it cannot grant")
+}
+
 // TestAnswersFitWhateverIsOwned gives a host more grants than fit into a heartbeat response, then fewer again. The
 // fences that the backend server sees never decrease.
 func TestAnswersFitWhateverIsOwned(t *testing.T) {
