--- a/standin/deployment/departure.go
+++ b/standin/deployment/departure.go
@@ -22,6 +22,18 @@
 	return true
 }
 
+// serveHealth answers a health check.
+func (s *Server) serveHealth(w http.ResponseWriter) {
+	s.warmup.stateWarmup(w.Header(), s.headers)
+	w.Header().Set(s.headers.Instance, s.instance.ID)
+	s.mu.Lock()
+	isLeaving := s.draining || s.isDeregistered
+	s.mu.Unlock()
+	if isLeaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // postOnce sends a call to the host's daemon on a connection of its own and reports whether it succeeded.
 func (s *Server) postOnce(path string, body []byte) bool {
 	client := &http.Client{Timeout: heartbeatTimeout}
--- a/standin/deployment/server.go
+++ b/standin/deployment/server.go
@@ -343,18 +343,6 @@
 	_, _ = w.Write(body) // the daemon may have closed the connection
 }
 
-// serveHealth answers a health check.
-func (s *Server) serveHealth(w http.ResponseWriter) {
-	s.warmup.stateWarmup(w.Header(), s.headers)
-	w.Header().Set(s.headers.Instance, s.instance.ID)
-	s.mu.Lock()
-	isLeaving := s.draining || s.isDeregistered
-	s.mu.Unlock()
-	if isLeaving {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 // deadlyPath is the end of the path of requests that crash the servers that run them.
 const deadlyPath = "deadly"
 
