fix(daemon): a confirmed server is used at once

A server whose health check had succeeded before the store answered was confirmed by the next tick, but stayed unknown until its next heartbeat. TestServerIsConfirmedBetweenHeartbeats fails without the change.

--- a/daemon/confirmation.go
+++ b/daemon/confirmation.go
@@ -37,7 +37,7 @@
 		return
 	}
 	if s.heartbeatAt >= s.lateHeartbeatsUntil {
-		c.serverConfirmed("heartbeat sent after the start")
+		c.serverConfirmed(now, "heartbeat sent after the start")
 		return
 	}
 	if c.config == nil {
@@ -50,9 +50,9 @@
 			c.startConfirmation(now, path)
 		}
 	case c.departure.isCertain:
-		c.serverConfirmed("departures known")
+		c.serverConfirmed(now, "departures known")
 	case hasMoreHeartbeats:
-		c.serverConfirmed("several heartbeats")
+		c.serverConfirmed(now, "several heartbeats")
 	}
 }
 
@@ -81,9 +81,6 @@
 					c.log.Info("backend server not confirmed until its next heartbeat", "instance", instance.String())
 				}
 			}
-			if s.state == ownership.ServerUnknown {
-				c.setServer(now, c.reportedServerState(), "health check")
-			}
 			c.pendingHeartbeat.deadline = min(c.pendingHeartbeat.deadline, now)
 			c.updateDataPlane(now)
 		}
@@ -91,10 +88,13 @@
 }
 
 // serverConfirmed records that the server may be used.
-func (c *control) serverConfirmed(reason string) {
+func (c *control) serverConfirmed(now ownership.Instant, reason string) {
 	c.server.confirmation.isConfirmed = true
 	c.log.Info("backend server confirmed", "instance", c.server.heartbeat.Instance.String(), "reason", reason,
 		"healthy", c.server.confirmation.isHealthy, "departures_certain", c.departure.isCertain)
+	if c.server.state == ownership.ServerUnknown {
+		c.setServer(now, ownership.ServerReady, "confirmed")
+	}
 }
 
 // isConfirming reports whether the server's answer to a health check is due.
--- a/daemon/confirmation_test.go
+++ b/daemon/confirmation_test.go
@@ -119,6 +119,42 @@
 	g.Eventually(func() bool { return mayGetWork(d) }, time.Second).Should(gomega.BeTrue(), "it goes on")
 }
 
+// slowStore answers no read until it is released.
+type slowStore struct {
+	store.Store
+	released chan struct{}
+}
+
+// Get implements store.Store.
+func (s *slowStore) Get(ctx context.Context, key string) (store.Item, error) {
+	select {
+	case <-s.released:
+		return s.Store.Get(ctx, key)
+	case <-ctx.Done():
+		return store.Item{}, ctx.Err()
+	}
+}
+
+// TestServerIsConfirmedBetweenHeartbeats guards against a server that waits for its next heartbeat although the store has
+// answered meanwhile.
+func TestServerIsConfirmedBetweenHeartbeats(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := &healthServer{instance: "i"}
+	server.status.Store(http.StatusOK)
+	s := &slowStore{Store: store.NewMemory(clockwork.NewRealClock()), released: make(chan struct{})}
+	d, sendHeartbeat := startedDaemon(t, s, 1, server)
+	d.control.post(context.Background(), func(ownership.Instant) { d.control.server.heartbeatInterval = time.Minute })
+	sendHeartbeat(1)
+	g.Eventually(func() bool {
+		healthy := make(chan bool, 1)
+		d.control.post(context.Background(), func(ownership.Instant) { healthy <- d.control.server.confirmation.isHealthy })
+		return <-healthy
+	}).Should(gomega.BeTrue())
+	g.Expect(mayGetWork(d)).To(gomega.BeFalse(), "the departures are not known")
+	close(s.released)
+	g.Eventually(func() bool { return mayGetWork(d) }, time.Second).Should(gomega.BeTrue())
+}
+
 // TestUnhealthyServerIsConfirmedByLaterHeartbeats guards against a server that never gets work again because it does not
 // answer health checks.
 func TestUnhealthyServerIsConfirmedByLaterHeartbeats(t *testing.T) {
