--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -14,6 +14,8 @@
 type sending struct {
 	at      time.Time
 	machine *machine
+	// isInTouch reports whether the machine's daemon had run for longer than the stable window.
+	isInTouch bool
 }
 
 // outcome is how a request ended at its client.
@@ -45,8 +47,10 @@
 
 // call sends a request and reads the answer.
 func (l *lab) call(c *clientConn, m *machine, method, path, id string, deadline time.Duration) outcome {
+	now := time.Now()
+	since, isUp := m.upSince()
 	l.mu.Lock()
-	l.sentAt[id] = sending{at: time.Now(), machine: m}
+	l.sentAt[id] = sending{at: now, machine: m, isInTouch: isUp && now.Sub(since) > stableWindow}
 	l.mu.Unlock()
 	length := ""
 	if method != http.MethodGet {
