--- a/review/standin-3/lab.go
+++ b/review/standin-3/lab.go
@@ -355,6 +355,7 @@
 		"connections": connections,
 		"deadly":      deadly,
 		"restored":    restored,
+		"hang":        hang,
 	}
 	play := scripts[script]
 	if play == nil {
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -49,6 +50,8 @@
 	isUp     bool
 	stopBeat context.CancelFunc
 	keys     heldKeys
+	// shed is whether the server rejects shedShare of its requests although it has room.
+	shed atomic.Bool
 }
 
 // start begins a new life of the server.
@@ -191,6 +194,10 @@
 		s.lab.deadlyArrived(requestID, s.machine.name, id)
 	}
 	leave, ok := s.enter(ctx)
+	if ok && s.shed.Load() && rand.Float64() < shedShare {
+		leave()
+		ok = false
+	}
 	if !ok {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
