--- a/review/standin-3/hang.go
+++ b/review/standin-3/hang.go
@@ -11,29 +11,31 @@
 )
 
 const (
-	hangMachines = 2
-	hangWork     = 60 * time.Millisecond
-	// hangRate is the rate of requests at each machine. Each server has room for a hundred a second.
-	hangRate = 180.0
-	// routeTimeout is timeout_ms of the route, and answerSlack how much later an answer may come.
-	routeTimeout = 1500 * time.Millisecond
-	answerSlack  = 500 * time.Millisecond
-	// shedShare is the share of the requests that the servers shed.
-	shedShare = 0.55
-	// The servers shed in windows of shedTime with pauses of shedPause. In each window the route is dropped drops times; it is
-	// away for dropTime and back for backTime.
-	windows   = 9
-	shedTime  = 8 * time.Second
-	shedPause = 600 * time.Millisecond
-	drops     = 3
-	dropTime  = 2100 * time.Millisecond
-	backTime  = 300 * time.Millisecond
+	hangMachines = 4
+	// hangWork, hangTarget, hangTimeout, hangDeadline and hangAttempts are those of `live-reading`.
+	hangWork     = 120 * time.Millisecond
+	hangTarget   = 500 * time.Millisecond
+	hangTimeout  = 1500 * time.Millisecond
+	hangDeadline = 3000 * time.Millisecond
+	hangAttempts = 3
+	// hangRate is the rate of requests at each machine. Each server has room for 50 a second.
+	hangRate = 52.5
+	// answerSlack is how much later than the timeout of its route a request may be answered.
+	answerSlack = 500 * time.Millisecond
+	// In each of the cycles, the servers shed shedShare of their requests for shedTime. The route for downloads is dropped
+	// dropDelay after they have begun, and comes back after dropTime.
+	cycles     = 11
+	shedShare  = 0.55
+	shedTime   = 750 * time.Millisecond
+	dropDelay  = 100 * time.Millisecond
+	dropTime   = 2800 * time.Millisecond
+	cyclePause = 4000 * time.Millisecond
 )
 
 // overdue counts the requests that have no answer at their route's timeout, and half a second later.
 type overdue struct{ sent, atTimeout, later atomic.Int64 }
 
-// hang plays changes of the configuration that drop the only route for downloads, while the servers shed some requests. PART
+// hang plays changes of the configuration that drop the only route for downloads, while the servers shed requests. PART
 // leaves all but the changes, or all but the shedding, out.
 func hang(folder string, hasTrouble bool) (bool, error) {
 	l, err := newLab(folder, hangMachines, hangWork, exportConfig(7, true))
@@ -54,31 +56,22 @@
 	for _, m := range l.machines {
 		running.Go(func() { l.openLoad(m, hangRate, stop, &o) })
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(5 * time.Second)
 	hasShedding := hasTrouble && os.Getenv("PART") != "changes"
 	hasChanges := hasTrouble && os.Getenv("PART") != "shed"
-	version := 7
-	for range windows {
+	for cycle := range cycles {
 		if hasShedding {
-			l.log("TROUBLE: the servers shed %.2f of their requests for %s", shedShare, shedTime)
-			for _, m := range l.machines {
-				m.server.shed.Store(true)
-				time.AfterFunc(shedTime, func() { m.server.shed.Store(false) })
-			}
+			l.shed()
 		}
-		time.Sleep(shedTime - drops*(dropTime+backTime))
-		for range drops {
-			if hasChanges {
-				version += 2
-				l.change(exportConfig(version, false))
-			}
-			time.Sleep(dropTime)
-			if hasChanges {
-				l.change(exportConfig(version+1, true))
-			}
-			time.Sleep(backTime)
+		time.Sleep(dropDelay)
+		if hasChanges {
+			l.change(exportConfig(8+2*cycle, false))
 		}
-		time.Sleep(shedPause)
+		time.Sleep(dropTime)
+		if hasChanges {
+			l.change(exportConfig(9+2*cycle, true))
+		}
+		time.Sleep(cyclePause)
 	}
 	close(stop)
 	running.Wait()
@@ -87,6 +80,15 @@
 	return 2*o.later.Load() > o.atTimeout.Load(), nil
 }
 
+// shed makes all servers shed a share of their requests for shedTime.
+func (l *lab) shed() {
+	l.log("TROUBLE: the servers shed %.2f of their requests for %s", shedShare, shedTime)
+	for _, m := range l.machines {
+		m.server.shed.Store(true)
+		time.AfterFunc(shedTime, func() { m.server.shed.Store(false) })
+	}
+}
+
 // change writes a configuration as the operator does.
 func (l *lab) change(config map[string]any) {
 	data, err := json.Marshal(config)
@@ -101,11 +103,13 @@
 func exportConfig(version int, hasExport bool) map[string]any {
 	c := config()
 	c["version"] = version
-	c["routes"].([]any)[0].(map[string]any)["target_latency_ms"] = 800
+	lookup := c["routes"].([]any)[0].(map[string]any)
+	lookup["target_latency_ms"], lookup["timeout_ms"] = hangTarget.Milliseconds(), hangTimeout.Milliseconds()
+	lookup["attempts"] = hangAttempts
 	if hasExport {
 		c["routes"] = append(c["routes"].([]any), map[string]any{
-			"name": "r-export", "host": hostName, "prefix": "/export/", "kind": "download", "timeout_ms": 4000,
-			"target_latency_ms": 600, "priority": 2, "service": serviceName, "attempts": 2,
+			"name": "r-export", "host": hostName, "prefix": "/export/", "kind": "download", "timeout_ms": 2000,
+			"target_latency_ms": 600, "priority": 2, "service": serviceName, "attempts": hangAttempts,
 		})
 	}
 	return c
@@ -134,8 +138,8 @@
 	defer c.Close()
 	o.sent.Add(1)
 	id, answered := newRequestID(), make(chan outcome, 1)
-	go func() { answered <- l.call(c, m, http.MethodGet, "/lookup/3", id, routeTimeout) }()
-	timeout := time.After(routeTimeout)
+	go func() { answered <- l.call(c, m, http.MethodGet, "/lookup/3", id, hangDeadline) }()
+	timeout := time.After(hangTimeout)
 	select {
 	case <-answered:
 		return
@@ -144,8 +148,8 @@
 	o.atTimeout.Add(1)
 	select {
 	case <-answered:
-	case <-time.After(answerSlack - 10*time.Millisecond):
+	case <-time.After(answerSlack):
 		o.later.Add(1)
-		l.log("request %s has no answer %s after its timeout", id, answerSlack)
+		l.log("request %s at %s has no answer %s after its timeout", id, m.name, answerSlack)
 	}
 }
